--- /dev/null
+++ b/canvasplank/__main__.py
@@ -0,0 +1,139 @@
+"""Wires the parts together and minds the signals: ``python -m canvasplank``."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+import logging
+import os
+import signal
+import sys
+
+from canvasplank import interface as api
+from canvasplank.counters import Counters
+from canvasplank.deadlines import Deadlines, Turns
+from canvasplank.exchange import Exchange
+from canvasplank.network.board import Board
+from canvasplank.network.callers import Callers
+from canvasplank.network.servers import Servers
+from canvasplank.policy import Controller
+from canvasplank.settings import (
+    Configuration,
+    ConfigurationError,
+    Instance,
+    Notice,
+    load_configuration,
+    read_ceilings,
+    read_settings,
+    split_address,
+)
+
+LOG = logging.getLogger(__name__)
+SERVE_ON_MS = 700.0  # after SIGTERM callers may still come for so long
+LEAVE_MS = 3400.0  # after SIGTERM; whatever is open then is failed, before anybody kills us
+LOOK_MS = 20.0
+FLUSH_MS = 200.0  # for the last bytes to leave
+
+
+class Program:
+    """One signalling proxy."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self._configuration = configuration
+        settings = read_settings(configuration.settings)
+        ceilings = read_ceilings(configuration.settings)
+        self.counters = Counters()
+        self._turns = Turns(Deadlines())
+        controller = Controller(settings, int(configuration.seed, 16))
+        self._exchange = Exchange(self._turns, controller.handle, self.counters, ceilings.max_open)
+        self._callers = Callers(self._exchange, configuration.limits.sockets, ceilings.conn_idle_ms)
+        self._exchange.callers = self._callers
+        self._servers = Servers(self._exchange, ceilings)
+        self._exchange.servers = self._servers
+        self._board = Board(self._turns, configuration.board, configuration.known.rev, self._notice)
+        self._closing_ms = 0.0
+        self._done = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until told to stop."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._terminate)
+        loop.add_signal_handler(signal.SIGINT, self._terminate)
+        loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
+        self._turns.begin()
+        self._servers.listed(True, _known_instances(self._configuration.known.notices))
+        self._board.start()
+        await self._callers.listen(*split_address(self._configuration.listen))
+        LOG.info("%s listens on %s", self._configuration.name, self._configuration.listen)
+        await self._done.wait()
+
+    def print_counters(self) -> None:
+        """For the operators."""
+        for line in self.counters.lines():
+            print(line, file=sys.stderr, flush=True)
+
+    def _notice(self, notice: Notice) -> None:
+        if notice.pool is not None:
+            self._servers.listed(notice.pool.reset, notice.pool.instances)
+
+    def _terminate(self) -> None:
+        """Serve on for a moment, then close the listener, answer all that is open, and leave."""
+        if self._exchange.closing:
+            return
+        self._turns.begin()
+        self._exchange.closing = True
+        self._closing_ms = self._turns.now_ms
+        self._turns.after(SERVE_ON_MS, self._wind_up)
+
+    def _wind_up(self) -> None:
+        self._callers.stop_listening()
+        if self._turns.now_ms - self._closing_ms >= LEAVE_MS:
+            self._exchange.fail_all()
+        if self._exchange.open_calls:
+            self._turns.after(LOOK_MS, self._wind_up)
+        else:
+            self._flush(self._turns.now_ms + FLUSH_MS)
+
+    def _flush(self, until_ms: float) -> None:
+        if self._callers.unsent() and self._turns.now_ms < until_ms:
+            self._turns.after(LOOK_MS, lambda: self._flush(until_ms))
+        else:
+            self._done.set()
+
+
+def _known_instances(notices: list[Notice]) -> list[Instance]:
+    """The list as it stood at the start."""
+    instances: dict[str, Instance] = {}
+    for notice in notices:
+        if notice.pool is not None:
+            if notice.pool.reset:
+                instances.clear()
+            instances |= {instance.instance_id: instance for instance in notice.pool.instances}
+    return [instance for instance in instances.values() if instance.lifecycle != "gone"]
+
+
+def main() -> int:
+    """Run by the environment's configuration; a fault in it is one line on standard error."""
+    logging.basicConfig(format="%(asctime)s %(message)s", level=logging.INFO, stream=sys.stderr)
+    try:
+        configuration = load_configuration(os.environ.get("EDGE_CONFIG", ""))
+        configuration.listen = os.environ.get("EDGE_LISTEN", configuration.listen)
+        configuration.name = os.environ.get("EDGE_NAME", configuration.name)
+        asyncio.run(_serve(configuration))
+    except (ConfigurationError, api.SettingsError, OSError, ValueError) as fault:
+        print(f"canvasplank: {' '.join(str(fault).split())}", file=sys.stderr)
+        return 2
+    return 0
+
+
+async def _serve(configuration: Configuration) -> None:
+    gc.freeze()
+    program = Program(configuration)
+    with contextlib.suppress(asyncio.CancelledError):
+        await program.run()
+    program.print_counters()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/canvasplank/codecs/__init__.py
@@ -0,0 +1,1 @@
+"""The wire formats: incremental parsers and writers that do no input or output of their own."""
--- /dev/null
+++ b/canvasplank/codecs/errors.py
@@ -0,0 +1,7 @@
+"""What all the parsers have in common: the size limit and the error."""
+
+MESSAGE_MOST = 16 * 1024  # bytes of one message, all counted
+
+
+class BadMessageError(ValueError):
+    """The peer sent what cannot be read; the message names what is wrong with it."""
--- /dev/null
+++ b/canvasplank/codecs/isup.py
@@ -0,0 +1,138 @@
+"""The callers' binary messages: ``length:2 type:1 call:8``, then parameters ``code:1 length:2 value``."""
+
+from __future__ import annotations
+
+import enum
+import struct
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from canvasplank.codecs.errors import MESSAGE_MOST, BadMessageError
+
+_LENGTH = struct.Struct(">H")
+_HEAD = struct.Struct(">HB8s")
+_PARAMETER = struct.Struct(">BH")
+_LEAST = _HEAD.size - _LENGTH.size  # type and call
+
+
+class Kind(enum.IntEnum):
+    """The message types in use; a type not named here is passed over by whoever reads it."""
+
+    SET_UP = 1
+    PROGRESS = 6
+    ANSWER = 9
+    RELEASE = 12
+    RELEASE_HEARD = 16
+    GROUP_STATE = 43
+    TEST = 52
+    TEST_RESULT = 53
+
+
+class Parameter(enum.IntEnum):
+    """The parameter codes in use."""
+
+    CLASS = 100
+    WAIT = 103
+    NUMBER = 112
+    FIGURES = 115
+    CAUSE = 142
+    DESCRIPTION = 145
+
+
+class Cause(enum.IntEnum):
+    """The causes of a release that this program gives or tells apart."""
+
+    NORMAL = 16
+    TEMPORARY_FAILURE = 41
+    CONGESTION = 42
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """One message; the call is 16 hex digits, as the other codecs have it."""
+
+    kind: int
+    call_id: str
+    parameters: dict[int, bytes] = field(default_factory=dict)
+
+    def text(self, code: Parameter) -> str:
+        """A parameter's text; a missing one is an error that names it."""
+        value = self.parameters.get(code)
+        if value is None:
+            raise BadMessageError(f"parameter {code.value} ({code.name.lower()}) is missing")
+        try:
+            return value.decode()
+        except UnicodeDecodeError:
+            raise BadMessageError(f"parameter {code.value} ({code.name.lower()}) is not text") from None
+
+    @property
+    def cause(self) -> int:
+        """The cause, or an ordinary end where none is given."""
+        value = self.parameters.get(Parameter.CAUSE, b"")
+        return value[0] if value else Cause.NORMAL
+
+
+class Parser:
+    """Takes bytes in any split and gives back whole messages."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes | memoryview) -> Iterator[Message]:
+        """Messages completed by these bytes."""
+        self._buffer += data
+        while len(self._buffer) >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(self._buffer)
+            size = length + _LENGTH.size
+            if length < _LEAST or size > MESSAGE_MOST:
+                most = MESSAGE_MOST - _LENGTH.size
+                raise BadMessageError(f"length {length} is not between {_LEAST} and {most}")
+            if len(self._buffer) < size:
+                return
+            raw = bytes(self._buffer[:size])
+            del self._buffer[:size]
+            yield _decode(raw)
+
+
+def _decode(raw: bytes) -> Message:
+    _, kind, call = _HEAD.unpack_from(raw)
+    parameters: dict[int, bytes] = {}
+    at = _HEAD.size
+    while at < len(raw):
+        if at + _PARAMETER.size > len(raw):
+            raise BadMessageError(f"parameter at byte {at} is cut short")
+        code, length = _PARAMETER.unpack_from(raw, at)
+        at += _PARAMETER.size
+        if at + length > len(raw):
+            raise BadMessageError(f"parameter {code} says {length} bytes where {len(raw) - at} are left")
+        parameters[code] = raw[at : at + length]
+        at += length
+    return Message(kind, call.hex(), parameters)
+
+
+def encode(message: Message) -> bytes:
+    """The bytes of a message."""
+    body = b"".join(
+        _PARAMETER.pack(code, len(value)) + value for code, value in message.parameters.items()
+    )
+    return _HEAD.pack(_LEAST + len(body), message.kind, bytes.fromhex(message.call_id)) + body
+
+
+def answer(call_id: str, description: bytes) -> bytes:
+    """The call stands."""
+    return encode(Message(Kind.ANSWER, call_id, {Parameter.DESCRIPTION: description}))
+
+
+def release(call_id: str, cause: int) -> bytes:
+    """Refused, failed or over, by the cause and by what went before."""
+    return encode(Message(Kind.RELEASE, call_id, {Parameter.CAUSE: bytes([cause])}))
+
+
+def release_heard(call_id: str) -> bytes:
+    """A release has arrived."""
+    return encode(Message(Kind.RELEASE_HEARD, call_id))
+
+
+def test_result(call_id: str, passed: bool) -> bytes:
+    """What a test gave."""
+    return encode(Message(Kind.TEST_RESULT, call_id, {Parameter.CAUSE: bytes([passed])}))
--- /dev/null
+++ b/canvasplank/codecs/sip.py
@@ -0,0 +1,137 @@
+"""The call servers' SIP over TCP: as much of RFC 3261 as these messages use."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from canvasplank.codecs.errors import MESSAGE_MOST, BadMessageError
+
+_HEAD_END = b"\r\n\r\n"
+_START_LINE_PARTS = 3
+_REASON_CAUSE = re.compile(r"Q\.850\s*;.*?cause\s*=\s*(\d{1,3})", re.IGNORECASE)
+_CSEQ = re.compile(r"(\d{1,10})\s+([A-Z]+)")
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """A request (``status`` 0) or a response (``method`` from its CSeq).  Header names are in lower case."""
+
+    method: str
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def call_id(self) -> str:
+        """What matches messages of one call."""
+        return self.headers.get("call-id", "")
+
+    @property
+    def sequence(self) -> int:
+        """The number in CSeq."""
+        match = _CSEQ.match(self.headers.get("cseq", ""))
+        return int(match[1]) if match else 0
+
+    @property
+    def cause(self) -> int | None:
+        """The Q.850 cause in ``Reason``, where there is one."""
+        match = _REASON_CAUSE.search(self.headers.get("reason", ""))
+        return int(match[1]) if match else None
+
+
+class Parser:
+    """Takes bytes in any split and gives back whole messages."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._head: tuple[str, int, dict[str, str]] | None = None
+        self._wanted = 0  # bytes of the body
+
+    def feed(self, data: bytes | memoryview) -> Iterator[Message]:
+        """Messages completed by these bytes."""
+        self._buffer += data
+        while self._head is not None or self._read_head():
+            if len(self._buffer) < self._wanted:
+                return
+            body = bytes(self._buffer[: self._wanted])
+            del self._buffer[: self._wanted]
+            method, status, headers = self._head
+            self._head = None
+            yield Message(method, status, headers, body)
+
+    def _read_head(self) -> bool:
+        while self._buffer.startswith(b"\r\n"):  # RFC 3261 7.5: empty lines between messages mean nothing
+            del self._buffer[:2]
+        end = self._buffer.find(_HEAD_END)
+        if end < 0:
+            if len(self._buffer) > MESSAGE_MOST:
+                raise BadMessageError(f"no end of the headers within {MESSAGE_MOST} bytes")
+            return False
+        try:
+            lines = self._buffer[:end].decode().split("\r\n")
+        except UnicodeDecodeError:
+            raise BadMessageError("headers are not UTF-8") from None
+        del self._buffer[: end + len(_HEAD_END)]
+        headers = _headers(lines[1:])
+        self._wanted = _length(headers)
+        if end + len(_HEAD_END) + self._wanted > MESSAGE_MOST:
+            raise BadMessageError(f"message of over {MESSAGE_MOST} bytes")
+        self._head = (*_start(lines[0], headers), headers)
+        return True
+
+
+def _headers(lines: list[str]) -> dict[str, str]:
+    headers: dict[str, str] = {}
+    for line in lines:
+        name, colon, value = line.partition(":")
+        if not colon or not name.strip():
+            raise BadMessageError(f"not a header: {line[:80]!r}")
+        headers.setdefault(name.strip().lower(), value.strip())
+    return headers
+
+
+def _length(headers: dict[str, str]) -> int:
+    text = headers.get("content-length")
+    if text is None:
+        raise BadMessageError("Content-Length is missing")
+    if not (text.isascii() and text.isdigit()):
+        raise BadMessageError(f"Content-Length {text[:20]!r} is not a number")
+    return int(text[:9])
+
+
+def _start(line: str, headers: dict[str, str]) -> tuple[str, int]:
+    parts = line.split(" ", _START_LINE_PARTS - 1)
+    if len(parts) == _START_LINE_PARTS and parts[0] == "SIP/2.0" and parts[1].isdigit():
+        match = _CSEQ.match(headers.get("cseq", ""))
+        if match is None:
+            raise BadMessageError(f"CSeq {headers.get('cseq', '')[:40]!r} names no method")
+        return match[2], int(parts[1])
+    if len(parts) == _START_LINE_PARTS and parts[2] == "SIP/2.0" and parts[0].isalpha():
+        return parts[0], 0
+    raise BadMessageError(f"not a start line: {line[:80]!r}")
+
+
+def request(
+    method: str, user: str, call_id: str, sequence: int,
+    headers: dict[str, str] | None = None, body: bytes = b"",
+) -> bytes:
+    """The bytes of a request; ``sequence`` is the number in CSeq."""
+    lines = [
+        f"{method} sip:{user}@net SIP/2.0",
+        "Via: SIP/2.0/TCP edge",
+        f"Call-ID: {call_id}",
+        f"CSeq: {sequence} {method}",
+        *(f"{name}: {value}" for name, value in (headers or {}).items()),
+        f"Content-Length: {len(body)}",
+    ]
+    return "\r\n".join(lines).encode() + _HEAD_END + body
+
+
+def response(status: int, reason: str, asked: Message) -> bytes:
+    """The bytes of a response to a request, with the headers that a response repeats."""
+    repeated = {"via": "Via", "from": "From", "to": "To", "call-id": "Call-ID", "cseq": "CSeq"}
+    lines = [f"SIP/2.0 {status} {reason}"]
+    lines += [f"{name}: {asked.headers[key]}" for key, name in repeated.items() if key in asked.headers]
+    return "\r\n".join([*lines, "Content-Length: 0"]).encode() + _HEAD_END
--- /dev/null
+++ b/canvasplank/codecs/sse.py
@@ -0,0 +1,107 @@
+"""Server-sent events in an HTTP response: the notice board's stream."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from canvasplank.codecs.errors import MESSAGE_MOST, BadMessageError
+
+_EVENT_MOST = 16 * MESSAGE_MOST  # a whole list of servers is one event
+_STATUS_PARTS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One event."""
+
+    id: str
+    data: str
+
+
+def request(path: str, host: str, last_id: int) -> bytes:
+    """Ask for all events after one."""
+    return (
+        f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: text/event-stream\r\n"
+        f"Last-Event-ID: {last_id}\r\nConnection: close\r\n\r\n"
+    ).encode()
+
+
+class Parser:
+    """Takes the bytes of one response in any split and gives back whole events."""
+
+    def __init__(self) -> None:
+        self._raw = bytearray()  # as it came
+        self._text = bytearray()  # the body, freed of its chunks
+        self._in_body = False
+        self._chunked = False
+        self._chunk_left = 0
+        self._id, self._data = "", []
+
+    def feed(self, data: bytes | memoryview) -> Iterator[Event]:
+        """Events completed by these bytes; comments are passed over."""
+        self._raw += data
+        if not self._in_body and not self._read_head():
+            return
+        if self._chunked:
+            self._unchunk()
+        else:
+            self._text += self._raw
+            self._raw.clear()
+        yield from self._events()
+        if len(self._text) > _EVENT_MOST or sum(map(len, self._data)) > _EVENT_MOST:
+            raise BadMessageError(f"event of over {_EVENT_MOST} bytes")
+
+    def _read_head(self) -> bool:
+        end = self._raw.find(b"\r\n\r\n")
+        if end < 0:
+            if len(self._raw) > MESSAGE_MOST:
+                raise BadMessageError(f"no end of the headers within {MESSAGE_MOST} bytes")
+            return False
+        status, *lines = self._raw[:end].decode("latin-1").split("\r\n")
+        del self._raw[: end + 4]
+        parts = status.split(" ")
+        if len(parts) < _STATUS_PARTS or not parts[0].startswith("HTTP/1.") or parts[1] != "200":
+            raise BadMessageError(f"not a success: {status[:80]!r}")
+        fields = (line.lower().partition(":") for line in lines)
+        headers = {name.strip(): value.strip() for name, _, value in fields}
+        self._chunked = headers.get("transfer-encoding") == "chunked"
+        self._in_body = True
+        return True
+
+    def _unchunk(self) -> None:
+        """Move what is whole out of the chunks; a chunk's length line may itself be split."""
+        while self._raw:
+            if self._chunk_left:
+                part = self._raw[: self._chunk_left]
+                self._text += part
+                del self._raw[: len(part)]
+                self._chunk_left -= len(part)
+                continue
+            end = self._raw.find(b"\r\n")
+            if end < 0:
+                if len(self._raw) > MESSAGE_MOST:
+                    raise BadMessageError("chunk without a length")
+                return
+            line = bytes(self._raw[:end]).split(b";")[0].strip()
+            del self._raw[: end + 2]
+            if not line:  # the line end behind a chunk
+                continue
+            try:
+                self._chunk_left = int(line, 16)
+            except ValueError:
+                raise BadMessageError(f"chunk length {line[:20]!r} is not a number") from None
+
+    def _events(self) -> Iterator[Event]:
+        while (end := self._text.find(b"\n")) >= 0:
+            line = self._text[:end].decode("utf-8", "replace").rstrip("\r")
+            del self._text[: end + 1]
+            name, _, value = line.partition(":")
+            if not line:
+                if self._data:
+                    yield Event(self._id, "\n".join(self._data))
+                self._data = []
+            elif name == "id":
+                self._id = value.removeprefix(" ")
+            elif name == "data":
+                self._data.append(value.removeprefix(" "))
--- /dev/null
+++ b/canvasplank/exchange.py
@@ -0,0 +1,371 @@
+"""The exchange: the only place where callers, call servers and the decision module meet.
+
+It owns the table of calls, the clock that the module is handed, the module itself, and each call's one final
+answer.  It carries out what the module decides and reports what happens; it never chooses, retries, holds or
+refuses by itself.  A protocol is a component that calls the methods of its side here and offers those of
+``CallerSide`` or ``ServerSide``; the exchange knows nothing else of it.
+"""
+
+from __future__ import annotations
+
+import enum
+import logging
+from collections import OrderedDict, deque
+from collections.abc import Callable, Hashable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from canvasplank import interface as api
+from canvasplank.counters import Counters
+from canvasplank.deadlines import Deadline, Turns
+
+LOG = logging.getLogger(__name__)
+NORMAL_CLEARING = 16  # Q.850: the cause of a call's ordinary end
+CUT_CAUSE = 41  # Q.850: temporary failure, the cause of a call that was cut
+TAKEN_BACK_CAUSE = 31  # Q.850: normal, unspecified: nobody waits for this answer any more
+ENDED_MOST = 8192  # ids of calls that are over, remembered so that a release heard twice is passed on once
+DESCRIPTIONS_MOST = 24 * 1024 * 1024  # bytes of descriptions held for calls without an answer
+
+
+class Final(enum.Enum):
+    """The final answers other than 'the call stands'."""
+
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class CallerSide(Protocol):
+    """What the exchange asks of the callers' component; ``origin`` is whatever that component gave."""
+
+    def answer(self, origin: Hashable, call_id: str, description: bytes) -> None:
+        """Tell that the call stands."""
+
+    def reject(self, origin: Hashable, call_id: str, final: Final, retry_after_ms: float | None) -> None:
+        """Tell that the call was refused or has failed."""
+
+    def release(self, origin: Hashable | None, call_id: str, cause: int) -> None:
+        """Tell that a standing call is over, on any connection."""
+
+
+class ServerSide(Protocol):
+    """What the exchange asks of the call servers' component."""
+
+    def set_up(self, server_id: str, call: CallRecord, attempt: int, wait_ms: float) -> None:
+        """Send a set-up."""
+
+    def cancel(self, server_id: str, call_id: str) -> None:
+        """Give an unanswered set-up up."""
+
+    def release(self, server_id: str | None, call_id: str, cause: int) -> None:
+        """End a call that stands; without a server, wherever it may stand."""
+
+    def probe(self, server_id: str) -> None:
+        """Ask a server for its load."""
+
+
+@dataclass(slots=True)
+class Attempt:
+    """The one set-up of a call that is out."""
+
+    number: int
+    server_id: str
+    sent_ms: float
+    deadline: Deadline | None = None
+
+
+@dataclass(slots=True)
+class CallRecord:
+    """One call: its caller, its attempt, and whether an answer is still owed."""
+
+    id: str
+    class_name: str
+    number: str
+    first_choice: int
+    was_cut: bool
+    gives_up_ms: float
+    description: bytes
+    origin: Hashable
+    attempts: int = 0
+    out: Attempt | None = None
+    owed: bool = True
+    stands_at: str | None = None  # the server, once the call stands
+    stands_since_ms: float = 0.0
+    deadline: Deadline | None = field(default=None, repr=False)
+
+
+class Exchange:
+    """Callers on one side, call servers on the other, the decisions between them."""
+
+    def __init__(self, turns: Turns, controller: Callable[[float, api.Event], list[api.Action]],
+                 counters: Counters, most_open: int) -> None:
+        self.turns = turns
+        self.counters = counters
+        self.callers: CallerSide
+        self.servers: ServerSide
+        self.closing = False
+        self._decide = controller
+        self._most_open = most_open
+        self._open: dict[str, CallRecord] = {}  # a final answer is owed, or an attempt is out
+        self._standing: dict[str, CallRecord] = {}
+        self._ended: OrderedDict[str, None] = OrderedDict()
+        self._held_bytes = 0
+        self._events: deque[api.Event] = deque()
+        self._telling = False
+
+    @property
+    def open_calls(self) -> int:
+        """Calls that lack their final answer."""
+        return sum(call.owed for call in self._open.values())
+
+    @property
+    def standing_calls(self) -> int:
+        """Calls that stand."""
+        return len(self._standing)
+
+    # ------------------------------------------------------------------------------------ from the callers
+
+    def offer(self, call: CallRecord) -> None:
+        """A caller's set-up."""
+        self.counters.add("taken.set_ups")
+        known = self._open.get(call.id) or self._standing.get(call.id)
+        if known is not None:
+            # Guards against answering twice: a set-up resent on a new connection is the same call.
+            LOG.info("call %s comes again", call.id)
+            known.origin = call.origin
+            return
+        if len(self._open) >= self._most_open or self._held_bytes > DESCRIPTIONS_MOST:
+            self.counters.add("answered.over_capacity")
+            self.callers.reject(call.origin, call.id, Final.REFUSED, None)
+            return
+        self._open[call.id] = call
+        self._held_bytes += len(call.description)
+        call.deadline = self.turns.deadlines.add(call.gives_up_ms, lambda: self._overdue(call))
+        self._tell(api.Call(call.id, call.class_name, call.gives_up_ms, call.first_choice,
+                            number=call.number, was_cut=call.was_cut))
+
+    def give_up(self, call_id: str, cause: int) -> None:
+        """A release from a caller: of a set-up that it gives up, or of a call that stands."""
+        call = self._open.get(call_id)
+        if call is not None:
+            self._caller_gone(call)
+            return
+        call = self._standing.get(call_id)
+        if call is not None:
+            self.counters.add("taken.releases")
+            self.servers.release(call.stands_at, call_id, cause)
+            self._end_standing(call, api.Outcome.CANCELLED)
+        elif call_id not in self._ended:
+            # Guards against losing a release after a restart of ours: the call may stand at any server.
+            self.counters.add("taken.releases_unknown")
+            self._remember(call_id)
+            self.servers.release(None, call_id, cause)
+
+    def caller_lost(self, call_id: str, origin: Hashable) -> None:
+        """The connection of an unanswered set-up has ended."""
+        call = self._open.get(call_id)
+        if call is not None and call.owed and call.origin == origin:
+            self._caller_gone(call)
+
+    def _caller_gone(self, call: CallRecord) -> None:
+        if not call.owed:
+            return
+        self.counters.add("taken.given_up")
+        call.owed = False
+        self._tell(api.CallerGone(call.id))
+        if call.out is not None:
+            self._end_attempt(call, api.Outcome.CANCELLED, cancel=True)
+        else:
+            self._close(call)
+
+    def _overdue(self, call: CallRecord) -> None:
+        """The caller's time is up and the module has said nothing: guards rule 1 whatever the module does."""
+        if call.owed:
+            LOG.warning("call %s: no answer by the caller's time", call.id)
+            self._reject(call, Final.FAILED, None)
+            self._tell(api.CallerGone(call.id))
+            if call.out is not None:
+                self._end_attempt(call, api.Outcome.CANCELLED, cancel=True)
+
+    # ------------------------------------------------------------------------------------ from the servers
+
+    def established(self, server_id: str, call_id: str, attempt: int, description: bytes) -> None:
+        """A server answered a set-up; an answer that nobody waits for is taken back there."""
+        call = self._open.get(call_id)
+        if call is None or not self._is_out(call, server_id, attempt) or not call.owed:
+            stands = self._standing.get(call_id)
+            if stands is None or stands.stands_at != server_id:
+                self.counters.add("sent.taken_back")
+                self.servers.release(server_id, call_id, TAKEN_BACK_CAUSE)
+            return
+        out = call.out
+        self.turns.deadlines.discard(out.deadline)
+        call.owed = False
+        call.stands_at, call.stands_since_ms = server_id, self.turns.now_ms
+        self._close(call)
+        self._standing[call_id] = call
+        self.counters.add("answered.stands")
+        self.callers.answer(call.origin, call_id, description)
+        self._tell(api.Established(call_id, out.number, server_id, self.turns.now_ms - out.sent_ms))
+
+    def ended(self, server_id: str, call_id: str, attempt: int, outcome: api.Outcome,
+              processor_full: bool = False) -> None:
+        """An attempt that was not answered has ended."""
+        call = self._open.get(call_id)
+        if call is not None and self._is_out(call, server_id, attempt):
+            self._end_attempt(call, outcome, processor_full=processor_full)
+
+    def released(self, server_id: str, call_id: str, cause: int) -> None:
+        """A server ended a call that stood."""
+        call = self._standing.get(call_id)
+        if call is not None:
+            if call.stands_at != server_id:
+                return  # guards against the end of an attempt that was taken back there
+            self.counters.add("taken.ends")
+            self.callers.release(call.origin, call_id, cause)
+            self._end_standing(call, api.Outcome.ENDED if cause == NORMAL_CLEARING else api.Outcome.RESET)
+        elif call_id not in self._ended and call_id not in self._open:
+            # Guards against losing a release after a restart of ours: the caller still counts on the call.
+            self.counters.add("taken.ends_unknown")
+            self._remember(call_id)
+            self.callers.release(None, call_id, cause)
+
+    def lines_told(self, server_id: str, free: float, lines: float) -> None:
+        """A server told its free lines."""
+        self.counters.add("taken.states")
+        self._tell(api.LinesTold(server_id, free, lines))
+
+    def probe_answered(self, server_id: str, answered: bool, report: api.Report | None = None) -> None:
+        """What became of a probe."""
+        self._tell(api.ProbeAnswered(server_id, answered, report))
+
+    def process_over(self, server_id: str, started_before_ms: float) -> None:
+        """A server's process has ended without releasing its calls: release those that it held.
+
+        Only what stood before ``started_before_ms`` is over; a fresh process may hold calls already.
+        """
+        over = [c for c in self._standing.values()
+                if c.stands_at == server_id and c.stands_since_ms < started_before_ms]
+        for call in over:
+            self.counters.add("sent.ends_for_servers")
+            self.callers.release(call.origin, call.id, CUT_CAUSE)
+            self._end_standing(call, api.Outcome.RESET)
+
+    # ------------------------------------------------------------------------------------ from the board
+
+    def listed(self, kind: api.ListKind, servers: tuple[api.Server, ...]) -> None:
+        """News of the list of servers."""
+        self._tell(api.ServerList(kind, servers))
+
+    def fail_all(self) -> None:
+        """The program ends: whatever is still owed an answer gets one."""
+        for call in [c for c in self._open.values() if c.owed]:
+            self._reject(call, Final.FAILED, None)
+            if call.out is not None:
+                self._end_attempt(call, api.Outcome.CANCELLED, cancel=True)
+
+    # ------------------------------------------------------------------------------------ the module
+
+    def _tell(self, event: api.Event) -> None:
+        """Hand an event over and carry out what comes back; what that causes is told after it, in order."""
+        self._events.append(event)
+        if self._telling:
+            return
+        self._telling = True
+        try:
+            while self._events:
+                event = self._events.popleft()
+                try:
+                    actions = self._decide(self.turns.now_ms, event)
+                except Exception:  # a fault in one decision must not end the program and all its other calls
+                    LOG.exception("the module failed on %s", type(event).__name__)
+                    continue
+                for action in actions:
+                    self._carry_out(action)
+        finally:
+            self._telling = False
+
+    def _carry_out(self, action: api.Action) -> None:
+        match action:
+            case api.SetUp(call_id, server_id, timeout_ms):
+                self._set_up(call_id, server_id, timeout_ms)
+            case api.Cancel(call_id, attempt):
+                call = self._open.get(call_id)
+                if call is not None and call.out is not None and call.out.number == attempt:
+                    self.counters.add("sent.cancels")
+                    self._end_attempt(call, api.Outcome.CANCELLED, cancel=True)
+            case api.Refuse(call_id, retry_after_ms):
+                self._final(call_id, Final.REFUSED, retry_after_ms)
+            case api.Fail(call_id):
+                self._final(call_id, Final.FAILED, None)
+            case api.SetTimer(after_ms, token):
+                self.turns.after(after_ms, lambda: self._tell(api.TimerFired(token)))
+            case api.Probe(server_id):
+                self.counters.add("sent.probes")
+                self.servers.probe(server_id)
+            case api.Log(text):
+                LOG.info("%s", text)
+
+    def _set_up(self, call_id: str, server_id: str, timeout_ms: float) -> None:
+        call = self._open.get(call_id)
+        if call is None or not call.owed or call.out is not None:
+            LOG.error("set-up for call %s, which cannot have one", call_id)
+            return
+        out = call.out = Attempt(call.attempts, server_id, self.turns.now_ms)
+        call.attempts += 1
+        out.deadline = self.turns.after(timeout_ms, lambda: self._timed_out(call, out))
+        self.counters.add("sent.set_ups")
+        self.servers.set_up(server_id, call, out.number, timeout_ms)
+
+    def _timed_out(self, call: CallRecord, out: Attempt) -> None:
+        if call.out is out:
+            self._end_attempt(call, api.Outcome.TIMED_OUT, cancel=True)
+
+    def _final(self, call_id: str, final: Final, retry_after_ms: float | None) -> None:
+        call = self._open.get(call_id)
+        if call is not None and call.owed:
+            self._reject(call, final, retry_after_ms)
+
+    # ------------------------------------------------------------------------------------ the call table
+
+    def _is_out(self, call: CallRecord, server_id: str, attempt: int) -> bool:
+        return call.out is not None and call.out.server_id == server_id and call.out.number == attempt
+
+    def _reject(self, call: CallRecord, final: Final, retry_after_ms: float | None) -> None:
+        call.owed = False
+        self.counters.add(f"answered.{final.value}")
+        self.callers.reject(call.origin, call.id, final, retry_after_ms)
+        if call.out is None:
+            self._close(call)
+
+    def _end_attempt(self, call: CallRecord, outcome: api.Outcome, *, cancel: bool = False,
+                     processor_full: bool = False) -> None:
+        out, call.out = call.out, None
+        self.turns.deadlines.discard(out.deadline)
+        self.counters.add(f"ended.{outcome.name.lower()}")
+        if cancel:
+            self.servers.cancel(out.server_id, call.id)
+        if not call.owed:
+            self._close(call)
+        self._tell(api.AttemptEnded(call.id, out.number, out.server_id, outcome, finished=not call.owed,
+                                    processor_full=processor_full))
+
+    def _close(self, call: CallRecord) -> None:
+        """Nothing more is owed or out."""
+        if self._open.pop(call.id, None) is None:
+            return
+        self.turns.deadlines.discard(call.deadline)
+        self._held_bytes -= len(call.description)
+        call.description = b""
+        if call.stands_at is None:
+            self._remember(call.id)
+
+    def _end_standing(self, call: CallRecord, outcome: api.Outcome) -> None:
+        del self._standing[call.id]
+        self._remember(call.id)
+        self.counters.add(f"ended.{outcome.name.lower()}")
+        self._tell(api.AttemptEnded(call.id, call.attempts - 1, call.stands_at, outcome, finished=True))
+
+    def _remember(self, call_id: str) -> None:
+        self._ended[call_id] = None
+        if len(self._ended) > ENDED_MOST:
+            self._ended.popitem(last=False)
--- /dev/null
+++ b/canvasplank/network/__init__.py
@@ -0,0 +1,1 @@
+"""The sockets: callers on one side, call servers on the other, and the notice board."""
--- /dev/null
+++ b/canvasplank/network/board.py
@@ -0,0 +1,100 @@
+"""The notice board: one stream of events, taken up again where it broke off."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from canvasplank.codecs import sse
+from canvasplank.codecs.errors import BadMessageError
+from canvasplank.deadlines import Turns
+from canvasplank.network.connecting import Backoff, Connecting
+from canvasplank.network.stream import Stream
+from canvasplank.settings import NOTICE, Notice
+
+LOG = logging.getLogger(__name__)
+PATH = "/board/poll"
+CONNECT_MS = 1000.0
+SILENCE_MS = 2500.0  # a comment is due every second
+LOOK_MS = 250.0
+BACKOFF_MS, BACKOFF_MOST_MS = 50.0, 800.0
+
+
+class BoardStream(Stream):
+    """One connection to the notice board."""
+
+    def __init__(self, board: Board) -> None:
+        super().__init__(board.turns, "notice board")
+        self._board = board
+        self._parser = sse.Parser()
+
+    def connected(self) -> None:
+        """Ask for what is new."""
+        self.write(sse.request(PATH, self._board.address, self._board.last_id))
+
+    def received(self, data: memoryview) -> None:
+        """Read events."""
+        self._board.spoke(self)
+        for event in self._parser.feed(data):
+            self._board.event(event)
+
+    def ended(self, error: Exception | None) -> None:
+        """Ask again."""
+        self._board.left(self)
+
+
+class Board:
+    """Follows the notice board from the last event known."""
+
+    def __init__(self, turns: Turns, address: str, last_id: int, told: Callable[[Notice], None]) -> None:
+        self.turns = turns
+        self.address = address
+        self.last_id = last_id
+        self._told = told
+        self._stream: BoardStream | None = None
+        self._backoff = Backoff(turns, BACKOFF_MS, BACKOFF_MOST_MS)
+
+    def start(self) -> None:
+        """Connect, and keep looking whether it still speaks."""
+        self._connect()
+        self._look()
+
+    def _connect(self) -> None:
+        stream = self._stream = BoardStream(self)
+        Connecting(stream, self.address, CONNECT_MS, lambda why: self._failed(stream, why))
+
+    def _failed(self, stream: BoardStream, why: str) -> None:
+        LOG.info("notice board: no connection: %s", why)
+        self.left(stream)
+
+    def left(self, stream: BoardStream) -> None:
+        """A connection has ended."""
+        if self._stream is stream:
+            self._stream = None
+            self._backoff.then(self._connect)
+
+    def spoke(self, stream: BoardStream) -> None:
+        """It says something: a later break is a fresh one."""
+        self._backoff.succeeded()
+
+    def event(self, event: sse.Event) -> None:
+        """One event; what was told before a break is not taken twice."""
+        try:
+            number = int(event.id)
+            notice = NOTICE.decode(event.data)
+        except (ValueError, msgspec.MsgspecError) as fault:
+            raise BadMessageError(f"event {event.id[:20]!r}: {fault}") from None
+        if number > self.last_id:
+            self.last_id = number
+            self._told(notice)
+
+    def _look(self) -> None:
+        """Guards against a connection that is open and dead."""
+        stream = self._stream
+        if stream is not None and stream.is_open and self.turns.now_ms - stream.heard_ms > SILENCE_MS:
+            LOG.info("notice board: silent, connecting again")
+            stream.transport.abort()
+            self.left(stream)
+        self.turns.after(LOOK_MS, self._look)
--- /dev/null
+++ b/canvasplank/network/connecting.py
@@ -0,0 +1,77 @@
+"""Opening a connection, with its deadline in the one structure that holds all of them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from canvasplank.deadlines import Turns
+from canvasplank.network.stream import Stream
+from canvasplank.settings import split_address
+
+
+class Connecting:
+    """One try to open a connection; exactly one of ``stream.connected`` and ``failed`` follows."""
+
+    def __init__(self, stream: Stream, address: str, timeout_ms: float,
+                 failed: Callable[[str], None]) -> None:
+        self._stream = stream
+        self._address = address
+        self._timeout_ms = timeout_ms
+        self._failed = failed
+        self._turns = stream.turns
+        self._deadline = self._turns.after(timeout_ms, self._timed_out)
+        self._task: asyncio.Task | None = asyncio.get_running_loop().create_task(self._run())
+
+    def cancel(self) -> None:
+        """Stop trying and tell nobody."""
+        self._turns.deadlines.discard(self._deadline)
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    def _timed_out(self) -> None:
+        self._give_up(f"not up within {self._timeout_ms:.0f} ms")
+
+    def _give_up(self, why: str) -> None:
+        if self._task is not None:
+            self.cancel()
+            self._failed(why)
+
+    async def _run(self) -> None:
+        try:
+            host, port = split_address(self._address)
+            await asyncio.get_running_loop().create_connection(lambda: self._stream, host, port)
+        except (OSError, ValueError) as fault:
+            self._turns.begin()
+            self._give_up(str(fault))
+        else:
+            self._turns.deadlines.discard(self._deadline)
+            self._task = None
+
+
+class Backoff:
+    """Doubling waits between tries, from the start again after a success."""
+
+    def __init__(self, turns: Turns, first_ms: float, most_ms: float) -> None:
+        self._turns = turns
+        self._first_ms, self._most_ms = first_ms, most_ms
+        self._next_ms = first_ms
+        self._waiting = False
+
+    def succeeded(self) -> None:
+        """The next wait is the shortest again."""
+        self._next_ms = self._first_ms
+
+    def then(self, action: Callable[[], None]) -> None:
+        """Do it after the next wait; while one is under way, asking again changes nothing."""
+        if self._waiting:
+            return
+        self._waiting = True
+
+        def come_due() -> None:
+            self._waiting = False
+            action()
+
+        self._turns.after(self._next_ms, come_due)
+        self._next_ms = min(self._most_ms, 2 * self._next_ms)
--- /dev/null
+++ b/canvasplank/network/servers.py
@@ -0,0 +1,351 @@
+"""The client side: connections to the call servers, in the SIP of ``codecs.sip``.
+
+A server is known by the notice board's ``instanceId``; its address may be another's later.  One connection is
+kept up to each live server, whether or not calls go there: releases and the state of its lines come on it.
+"""
+
+from __future__ import annotations
+
+import logging
+import re
+from dataclasses import dataclass, field
+
+from canvasplank import interface as api
+from canvasplank.codecs import sip
+from canvasplank.exchange import CallRecord, Exchange
+from canvasplank.network.connecting import Backoff, Connecting
+from canvasplank.network.stream import Stream
+from canvasplank.settings import REPORT_FIELDS, Ceilings, Instance, server_of
+
+LOG = logging.getLogger(__name__)
+BACKOFF_MS, BACKOFF_MOST_MS = 50.0, 800.0
+QUIET_MS = 2500.0  # a server tells its lines every second; one that says nothing for so long may be cut off
+LOOK_MS = 250.0  # between two looks at quiet connections
+OWED_MOST = 10_000  # releases kept for a server that cannot be reached
+OUTCOMES = {
+    480: api.Outcome.NOT_SENT,
+    503: api.Outcome.FULL,
+    504: api.Outcome.RESET,
+}
+OK, MULTIPLE_CHOICES = 200, 300
+NORMAL_CLEARING = 16
+PROCESSOR_FULL = "cpu_full"
+GAUGE = re.compile(r"([A-Za-z_]\w*)\s*[=:]\s*(-?\d+(?:\.\d+)?)")
+
+
+@dataclass(slots=True)
+class Peer:
+    """One server: what the board says of it and the connections to it."""
+
+    server_id: str
+    address: str
+    state: api.ServerState
+    started_ms: float | None
+    backoff: Backoff
+    current: ServerStream | None = None  # where the next message goes; it may still be connecting
+    streams: list[ServerStream] = field(default_factory=list)  # all that are up
+    owed: dict[str, int] = field(default_factory=dict)  # causes of releases for the next connection
+
+
+class ServerStream(Stream):
+    """One connection to a server."""
+
+    def __init__(self, servers: Servers, peer: Peer) -> None:
+        super().__init__(servers.exchange.turns, f"server {peer.server_id} {peer.address}")
+        self.servers = servers
+        self.peer = peer
+        self.address = peer.address
+        self.open: dict[str, int] = {}  # set-ups sent here and not ended, with the numbers of their attempts
+        self.waiting: dict[str, tuple[int, bytes]] = {}  # set-ups for when it is up
+        self.connecting: Connecting | None = None
+        self.made_ms = self.turns.now_ms
+        self._parser = sip.Parser()
+
+    def connected(self) -> None:
+        """Send what has waited."""
+        self.made_ms = self.turns.now_ms
+        self.servers.joined(self)
+
+    def received(self, data: memoryview) -> None:
+        """Read what it says."""
+        for message in self._parser.feed(data):
+            self.servers.take(self, message)
+
+    def ended(self, error: Exception | None) -> None:
+        """Its set-ups broke on their way."""
+        self.servers.left(self)
+
+
+class Servers:
+    """All connections to call servers."""
+
+    def __init__(self, exchange: Exchange, ceilings: Ceilings) -> None:
+        self.exchange = exchange
+        self.turns = exchange.turns
+        self._ceilings = ceilings
+        self._peers: dict[str, Peer] = {}
+        self._probes: dict[str, str] = {}
+        self._probe_count = 0
+        self.turns.after(LOOK_MS, self._look)
+
+    # -------------------------------------------------------------------------------- for the board
+
+    def listed(self, complete: bool, instances: list[Instance]) -> None:
+        """News of the list: tell the module first, so that what follows here meets its new view."""
+        entries = {instance.instance_id: instance for instance in instances}
+        kind = api.ListKind.COMPLETE if complete else api.ListKind.CHANGES
+        missing = [p for p in self._peers.values() if complete and p.server_id not in entries]
+        self.exchange.listed(kind, tuple(server_of(entry) for entry in entries.values()))
+        for peer in missing:
+            self._gone(peer)
+        for entry in entries.values():
+            self._entry(entry)
+
+    def _entry(self, entry: Instance) -> None:
+        server = server_of(entry)
+        peer = self._peers.get(server.id)
+        if server.state is api.ServerState.GONE:
+            if peer is not None:
+                self._gone(peer)
+            return
+        if peer is None:
+            backoff = Backoff(self.turns, BACKOFF_MS, BACKOFF_MOST_MS)
+            peer = Peer(server.id, entry.host_port, server.state, server.started_ms, backoff)
+            self._peers[server.id] = peer
+        elif server.started_ms != peer.started_ms or entry.host_port != peer.address:
+            peer.started_ms, peer.address = server.started_ms, entry.host_port
+            self._restarted(peer)
+        peer.state = server.state
+        if server.state is api.ServerState.DRAINING:
+            self._recall(peer)
+        self._connect(peer)
+
+    def _restarted(self, peer: Peer) -> None:
+        """A fresh process under the same name: what the old one held is over, its connections are dead."""
+        started_ms = peer.started_ms or self.turns.now_ms
+        for stream in [s for s in peer.streams if s.made_ms < started_ms]:
+            stream.transport.abort()
+            self.left(stream)
+        current = peer.current
+        if current is not None and current.connecting is not None and current.address != peer.address:
+            self._failed(current, "its address has changed")
+        self.exchange.process_over(peer.server_id, started_ms)
+
+    def _gone(self, peer: Peer) -> None:
+        """It has stopped.  While it still speaks to us it can release its calls itself."""
+        peer.state = api.ServerState.GONE
+        self._recall(peer)
+        if any(s.is_open and self.turns.now_ms - s.heard_ms < QUIET_MS for s in peer.streams):
+            self.turns.after(LOOK_MS, lambda: self._peers.get(peer.server_id) is peer and self._gone(peer))
+            return
+        self._peers.pop(peer.server_id, None)
+        if peer.current is not None and peer.current.connecting is not None:
+            self._failed(peer.current, "gone")
+        self.exchange.process_over(peer.server_id, float("inf"))
+        for stream in list(peer.streams):
+            if not stream.open:
+                stream.close()
+
+    def _recall(self, peer: Peer) -> None:
+        """Nothing new may reach it, not even what waits for a connection or lies unsent in one (rule 3)."""
+        streams = [*peer.streams, peer.current] if peer.current not in peer.streams else peer.streams
+        for stream in [s for s in streams if s is not None]:
+            for call_id, (attempt, _) in list(stream.waiting.items()):
+                del stream.waiting[call_id]
+                self.exchange.ended(peer.server_id, call_id, attempt, api.Outcome.NO_CONNECTION)
+            if stream.open and stream.unsent:
+                stream.transport.abort()
+
+    # -------------------------------------------------------------------------------- for the exchange
+
+    def set_up(self, server_id: str, call: CallRecord, attempt: int, wait_ms: float) -> None:
+        """See ``ServerSide``."""
+        peer = self._peers.get(server_id)
+        if peer is None or peer.state is not api.ServerState.READY:
+            self.exchange.ended(server_id, call.id, attempt, api.Outcome.NO_CONNECTION)
+            return
+        headers = {"X-Tier": call.class_name, "X-Deadline": str(max(1, round(wait_ms)))}
+        data = sip.request("INVITE", call.number, call.id, attempt + 1, headers, call.description)
+        self._connect(peer)
+        stream = peer.current
+        if stream.is_open:
+            stream.open[call.id] = attempt
+            stream.write(data)
+        else:
+            stream.waiting[call.id] = attempt, data
+
+    def cancel(self, server_id: str, call_id: str) -> None:
+        """See ``ServerSide``: on the connection of the set-up, or not at all where it was never sent."""
+        peer = self._peers.get(server_id)
+        if peer is None:
+            return
+        if peer.current is not None and peer.current.waiting.pop(call_id, None) is not None:
+            return
+        for stream in peer.streams:
+            attempt = stream.open.pop(call_id, None)
+            if attempt is not None:
+                stream.write(sip.request("CANCEL", "call", call_id, attempt + 1))
+
+    def release(self, server_id: str | None, call_id: str, cause: int) -> None:
+        """See ``ServerSide``: on the connection that is up, or on the next one."""
+        for peer in self._peers.values() if server_id is None else filter(None, [self._peers.get(server_id)]):
+            if peer.current is not None and peer.current.is_open:
+                self._bye(peer.current, call_id, cause)
+            elif len(peer.owed) < OWED_MOST:
+                peer.owed[call_id] = cause
+
+    def probe(self, server_id: str) -> None:
+        """See ``ServerSide``."""
+        peer = self._peers.get(server_id)
+        if peer is None or peer.current is None or not peer.current.is_open:
+            self.exchange.probe_answered(server_id, False)
+            return
+        self._probe_count += 1
+        probe_id = f"{self._probe_count:016x}"
+        self._probes[probe_id] = server_id
+        peer.current.write(sip.request("OPTIONS", "load", probe_id, 1))
+        self.turns.after(self._ceilings.connect_timeout_ms, lambda: self._probed(probe_id, False, None))
+
+    def _probed(self, probe_id: str, answered: bool, report: api.Report | None) -> None:
+        server_id = self._probes.pop(probe_id, None)
+        if server_id is not None:
+            self.exchange.probe_answered(server_id, answered, report)
+
+    def _bye(self, stream: ServerStream, call_id: str, cause: int) -> None:
+        self.exchange.counters.add("sent.releases_to_servers")
+        stream.write(sip.request("BYE", "call", call_id, 1, {"Reason": f"Q.850;cause={cause}"}))
+
+    # -------------------------------------------------------------------------------- connections
+
+    def _connect(self, peer: Peer) -> None:
+        """Have a current connection, up or on its way."""
+        current = peer.current
+        if current is not None and (current.is_open or current.connecting is not None):
+            return
+        stream = peer.current = ServerStream(self, peer)
+        stream.connecting = Connecting(
+            stream, peer.address, self._ceilings.connect_timeout_ms, lambda why: self._failed(stream, why)
+        )
+
+    def joined(self, stream: ServerStream) -> None:
+        """A connection is up."""
+        peer = stream.peer
+        stream.connecting = None
+        peer.backoff.succeeded()
+        peer.streams.append(stream)
+        self.exchange.counters.add("sockets.servers")
+        for call_id, (attempt, data) in stream.waiting.items():
+            stream.open[call_id] = attempt
+            stream.write(data)
+        stream.waiting.clear()
+        owed, peer.owed = peer.owed, {}
+        for call_id, cause in owed.items():
+            self._bye(stream, call_id, cause)
+        self._retire(peer)
+
+    def _failed(self, stream: ServerStream, why: str) -> None:
+        """A connection did not come up: what waited for it never ran."""
+        peer = stream.peer
+        stream.connecting.cancel()
+        stream.connecting = None
+        if peer.current is stream:
+            peer.current = None
+        LOG.info("%s: no connection: %s", stream.label, why)
+        self.exchange.counters.add("sockets.servers_failed")
+        waiting, stream.waiting = stream.waiting, {}
+        for call_id, (attempt, _) in waiting.items():
+            self.exchange.ended(peer.server_id, call_id, attempt, api.Outcome.NO_CONNECTION)
+        self._keep_up(peer)
+
+    def left(self, stream: ServerStream) -> None:
+        """A connection has ended: RESET for each set-up that was open on it."""
+        peer = stream.peer
+        if stream not in peer.streams:
+            return
+        peer.streams.remove(stream)
+        if peer.current is stream:
+            peer.current = None
+        broken, stream.open = stream.open, {}
+        for call_id, attempt in broken.items():
+            self.exchange.ended(peer.server_id, call_id, attempt, api.Outcome.RESET)
+        self._keep_up(peer)
+
+    def _keep_up(self, peer: Peer) -> None:
+        """Connect again after a while, as long as the server is listed."""
+        if peer.current is None:
+            peer.backoff.then(lambda: self._listed(peer) and self._connect(peer))
+
+    def _listed(self, peer: Peer) -> bool:
+        return self._peers.get(peer.server_id) is peer and peer.state is not api.ServerState.GONE
+
+    def _look(self) -> None:
+        """Guards against half-open connections that swallow calls: a quiet one is current no more.
+
+        It stays open for what may yet come on it; a connection that speaks again is as good as a new one.
+        """
+        now_ms = self.turns.now_ms
+        for peer in list(self._peers.values()):
+            current = peer.current
+            if current is not None and current.is_open and now_ms - current.heard_ms > QUIET_MS:
+                peer.current = None
+            if self._listed(peer):
+                self._connect(peer)
+            self._retire(peer)
+        self.turns.after(LOOK_MS, self._look)
+
+    def _retire(self, peer: Peer) -> None:
+        """Close connections that another has taken the place of, once nothing is open on them."""
+        if peer.current is None or not peer.current.is_open:
+            return
+        for stream in [s for s in peer.streams if s is not peer.current and not s.open and s.is_open]:
+            stream.close()
+
+    # -------------------------------------------------------------------------------- messages
+
+    def take(self, stream: ServerStream, message: sip.Message) -> None:
+        """One message from a server."""
+        if message.status:
+            self._response(stream, message)
+            return
+        match message.method:
+            case "BYE":
+                stream.write(sip.response(OK, "OK", message))
+                cause = NORMAL_CLEARING if message.cause is None else message.cause
+                self.exchange.released(stream.peer.server_id, message.call_id, cause)
+            case "NOTIFY":
+                gauges = _gauges(message)
+                if "free" in gauges and "size" in gauges:
+                    self.exchange.lines_told(stream.peer.server_id, gauges["free"], gauges["size"])
+            case "OPTIONS":
+                stream.write(sip.response(OK, "OK", message))
+
+    def _response(self, stream: ServerStream, message: sip.Message) -> None:
+        if message.method == "OPTIONS":
+            self._probed(message.call_id, message.status == OK, _report(_gauges(message)))
+        if message.method != "INVITE" or message.status < OK:
+            return
+        call_id, server_id = message.call_id, stream.peer.server_id
+        attempt = stream.open.get(call_id, -1)
+        ours = message.sequence in (0, attempt + 1)  # else it is the end of an earlier attempt
+        stream.write(sip.request("ACK", "call", call_id, max(1, message.sequence)))
+        if ours:
+            stream.open.pop(call_id, None)
+        number = attempt if ours else message.sequence - 1
+        if message.status < MULTIPLE_CHOICES:
+            self.exchange.established(server_id, call_id, number, message.body)
+        elif ours:
+            outcome = OUTCOMES.get(message.status, api.Outcome.ERROR)
+            note = message.headers.get("x-outcome", "")
+            self.exchange.ended(server_id, call_id, number, outcome, processor_full=note == PROCESSOR_FULL)
+
+
+def _gauges(message: sip.Message) -> dict[str, float]:
+    """The load figures, in their header or in the body."""
+    text = message.headers.get("x-gauges") or message.body.decode("utf-8", "replace")
+    return {name: float(value) for name, value in GAUGE.findall(text)}
+
+
+def _report(gauges: dict[str, float]) -> api.Report | None:
+    values = {REPORT_FIELDS[name].value: value for name, value in gauges.items()
+              if name in REPORT_FIELDS and value >= 0}
+    return api.Report(**values) if values else None
--- /dev/null
+++ b/canvasplank/network/stream.py
@@ -0,0 +1,100 @@
+"""What every connection has in common: a buffer, bounds on what is written, and an end on a bad message."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from canvasplank.codecs.errors import MESSAGE_MOST, BadMessageError
+from canvasplank.deadlines import Turns
+
+LOG = logging.getLogger(__name__)
+UNSENT_MOST = 1024 * 1024  # bytes that a peer may leave unread before its connection is ended
+UNSENT_PAUSE = 64 * 1024  # bytes left unread from which on nothing more is taken from the peer
+
+
+class Stream(asyncio.BufferedProtocol):
+    """One connection; subclasses read with ``received`` and hear of the end in ``ended``."""
+
+    def __init__(self, turns: Turns, label: str) -> None:
+        self.turns = turns
+        self.label = label
+        self.transport: asyncio.Transport | None = None
+        self.heard_ms = turns.now_ms
+        self.used_ms = turns.now_ms
+        self._buffer = bytearray(MESSAGE_MOST)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether something may still be written."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    def connected(self) -> None:
+        """The connection is up."""
+
+    def received(self, data: memoryview) -> None:
+        """Bytes came in."""
+        raise NotImplementedError
+
+    def ended(self, error: Exception | None) -> None:
+        """The connection is over."""
+
+    def write(self, data: bytes) -> None:
+        """Send; a peer that never reads loses its connection and not our memory."""
+        if not self.is_open:
+            return
+        self.used_ms = self.turns.now_ms
+        self.transport.write(data)
+        if self.unsent > UNSENT_MOST:
+            LOG.warning("%s: closed, leaves %d bytes unread", self.label, self.unsent)
+            self.transport.abort()
+
+    @property
+    def unsent(self) -> int:
+        """Bytes that the machine has not taken yet."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
+    def close(self) -> None:
+        """End it once all is written."""
+        if self.transport is not None:
+            self.transport.close()
+
+    # asyncio's names from here on
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """See asyncio."""
+        self.turns.begin()
+        self.transport = transport
+        transport.set_write_buffer_limits(high=UNSENT_PAUSE)
+        self.heard_ms = self.used_ms = self.turns.now_ms
+        self.connected()
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """See asyncio."""
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """See asyncio."""
+        self.turns.begin()
+        self.heard_ms = self.used_ms = self.turns.now_ms
+        try:
+            self.received(memoryview(self._buffer)[:nbytes])
+        except BadMessageError as fault:
+            # Guards against a bad message ending the program: it ends its own connection, with one line.
+            LOG.warning("%s: closed, %s", self.label, fault)
+            self.transport.abort()
+
+    def pause_writing(self) -> None:
+        """The peer does not read: take nothing more from it meanwhile."""
+        if self.is_open:
+            self.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """The peer reads again."""
+        if self.is_open:
+            self.transport.resume_reading()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """See asyncio."""
+        self.turns.begin()
+        self.ended(exc)
--- a/meadowpier/policy.py
+++ b/canvasplank/policy.py
@@ -1,6 +1,6 @@
 """Every decision of the call controller: one multi-priority leaky bucket per server, and what guards it.
 
-The types, events, actions and settings are in ``meadowpier/interface.py``; read that first.  Then read
+The types, events, actions and settings are in ``canvasplank/interface.py``; read that first.  Then read
 here in this order: the constants; ``LeakyBucket`` (ND1621's restrictor); ``ServerView`` (what this gateway
 knows of one server); ``CallState``; and ``Controller``, from ``handle`` down.  Its ``_gate`` is the one place
 through which every set-up leaves, and it checks the five rules.  Time acts through one timer: ``_due`` names
@@ -16,7 +16,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Iterator
 
-from meadowpier.interface import (
+from canvasplank.interface import (
     Action,
     AttemptEnded,
     Call,
--- /dev/null
+++ b/canvasplank/settings.py
@@ -0,0 +1,192 @@
+"""What the program is told: the configuration, the settings in it, and the list of servers.
+
+The simulator's adapter and the proxy read the same settings; both have ``interface.Settings`` from here.
+Files and lists are decoded with msgspec, which skips keys that this version does not know.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from canvasplank import interface as api
+
+_SOURCES = {
+    "off": api.ReportSource.NONE,
+    "on_probe": api.ReportSource.PROBES,
+    "inline": api.ReportSource.ANSWERS,
+}
+REPORT_FIELDS = {
+    "util": api.ReportField.UTILISATION,
+    "queue": api.ReportField.QUEUE,
+    "latency_ms": api.ReportField.WAIT_MS,
+    "can_take": api.ReportField.RATE_PER_S,
+    "hold_back": api.ReportField.HOLD_BACK,
+}
+
+
+class ConfigurationError(ValueError):
+    """The configuration cannot be used; the message says why, in one line."""
+
+
+class Limits(msgspec.Struct):
+    """What the platform lets this machine have."""
+
+    sockets: int = 1024
+    memory_mb: float = 192
+    cores: float = 1.0
+
+
+class Instance(msgspec.Struct, rename="camel"):
+    """One call server, as a notice names it."""
+
+    instance_id: str
+    host_port: str
+    lifecycle: str
+    cell: int = 0
+    started_at_ms: float = 0
+
+
+class Pool(msgspec.Struct):
+    """What a notice tells of the list: the whole list when ``reset`` is set, else what has changed."""
+
+    instances: list[Instance]
+    reset: bool = False
+
+
+class Notice(msgspec.Struct):
+    """One numbered event of the notice board."""
+
+    rev: int
+    pool: Pool | None = None
+
+
+class Known(msgspec.Struct):
+    """The notices up to the start."""
+
+    rev: int = 0
+    notices: list[Notice] = []
+
+
+class Configuration(msgspec.Struct):
+    """All that the program is told at its start."""
+
+    listen: str
+    seed: str
+    board: str
+    settings: dict[str, Any]
+    name: str = ""
+    known: Known = msgspec.field(default_factory=Known)
+    limits: Limits = msgspec.field(default_factory=Limits)
+
+
+class Ceilings(msgspec.Struct):
+    """The figures in the settings that concern connections and tables, and not the decisions."""
+
+    connect_timeout_ms: float
+    conn_idle_ms: float
+    max_open: int
+
+
+NOTICE = msgspec.json.Decoder(Notice)
+
+_STATES = {
+    "ready": api.ServerState.READY,
+    "draining": api.ServerState.DRAINING,
+    "gone": api.ServerState.GONE,
+}
+
+
+def load_configuration(path: str) -> Configuration:
+    """Read the file; whatever is wrong with it comes out as one line."""
+    try:
+        with open(path, "rb") as file:
+            configuration = msgspec.json.decode(file.read(), type=Configuration)
+        for address in (configuration.listen, configuration.board):
+            split_address(address)
+        int(configuration.seed, 16)
+    except (OSError, msgspec.MsgspecError, ValueError) as fault:
+        raise ConfigurationError(f"configuration {path}: {fault}") from None
+    return configuration
+
+
+def read_ceilings(options: dict[str, Any]) -> Ceilings:
+    """The part of the settings that the network side goes by."""
+    try:
+        return msgspec.convert(options["ceilings"], Ceilings)
+    except (KeyError, msgspec.ValidationError) as fault:
+        raise ConfigurationError(f"settings: ceilings: {fault}") from None
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Host and port of ``host:port``."""
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"{address!r} is not host:port")
+    return host.strip("[]"), int(port)
+
+
+def server_of(instance: Instance) -> api.Server:
+    """The entry as the module reads it; an unknown state counts as draining: nothing new goes there."""
+    return api.Server(
+        instance.instance_id,
+        instance.cell,
+        _STATES.get(instance.lifecycle, api.ServerState.DRAINING),
+        instance.started_at_ms or None,
+    )
+
+
+def known(value: float | None) -> float | None:
+    """A figure, or None where the wire leaves it out or says -1."""
+    return None if value is None or value < 0 else value
+
+
+def read_settings(options: dict[str, Any]) -> api.Settings:
+    """The settings as the library names them; keys that it does not know are ignored."""
+    try:
+        rules, ceilings, family = options["rules"], options["ceilings"], options["family_info"]
+        report = options["load_report"]
+        pools, holds = family.get("skilled_pools"), family.get("class_hold_ms") or ()
+        classes = tuple(
+            api.CallClass(
+                name=profile["name"],
+                aim_ms=profile["aim_ms"],
+                deadline_ms=profile["deadline_ms"],
+                worth=profile["worth"],
+                late_worth=profile["late_worth"],
+                pools=None if pools is None else tuple(pools[number]),
+                hold_ms=holds[number] if number < len(holds) else None,
+            )
+            for number, profile in enumerate(options["profiles"])
+        )
+        return api.Settings(
+            instances=options["instances"],
+            classes=classes,
+            rules=api.Rules(
+                release_ms=family["clear_wait_ms"],
+                drain_grace_ms=rules["stop_sending_within_ms"],
+                answer_slack_ms=rules["answer_slack_ms"],
+                cold_share=rules["cold_share"],
+                warm_within_ms=rules["warm_within_ms"],
+                tip_multiple=rules["tip_multiple"],
+                tip_span_ms=rules["overload_for_ms"],
+            ),
+            max_attempts=ceilings["most_tries"],
+            tick_ms=options["tick_ms"],
+            resend_ms=known(family.get("resend_ms")) or None,
+            contracts=tuple(
+                api.Contract(tenant["name"], tenant["quota_per_s"]) for tenant in options.get("tenants") or ()
+            ),
+            over_quota_worth=options.get("over_share_worth", 1.0),
+            reports=_SOURCES[report["via"]],
+            report_fields=tuple(REPORT_FIELDS[name] for name in report["names"] if name in REPORT_FIELDS),
+            probes_allowed=ceilings["probes"],
+            cancel_allowed=ceilings["cancel"],
+            retry_after_max_ms=(known(ceilings.get("max_retry_after_ms")) or None) if ceilings["retry_after"]
+            else None,
+        )
+    except KeyError as missing:
+        raise api.SettingsError(f"setting {missing.args[0]!r} is missing or unknown") from None
+    except (TypeError, IndexError, AttributeError) as broken:
+        raise api.SettingsError(f"settings are malformed: {broken}") from None
--- a/meadowpier/wirehost.py
+++ b/canvasplank/wirehost.py
@@ -1,6 +1,6 @@
 """The adapter: hosts many controllers behind the line-framed JSON wire on standard input and output.
 
-It frames, maps words and numbers between the wire and :mod:`meadowpier.interface`, and flushes.  It decides
+It frames, maps words and numbers between the wire and :mod:`canvasplank.interface`, and flushes.  It decides
 nothing.  A broken frame ends it with one line on standard error and exit status 2.
 """
 
@@ -11,8 +11,9 @@
 from collections.abc import Callable, Iterator
 from typing import Any, TextIO
 
-from meadowpier import interface as api
-from meadowpier.policy import Controller
+from canvasplank import interface as api
+from canvasplank.policy import Controller
+from canvasplank.settings import REPORT_FIELDS, known, read_settings
 
 _OUTCOMES = {
     "GOOD": api.Outcome.ENDED,
@@ -34,18 +35,6 @@
     "full": api.ListKind.COMPLETE,
     "cached": api.ListKind.CACHED,
 }
-_SOURCES = {
-    "off": api.ReportSource.NONE,
-    "on_probe": api.ReportSource.PROBES,
-    "inline": api.ReportSource.ANSWERS,
-}
-_FIELDS = {
-    "util": api.ReportField.UTILISATION,
-    "queue": api.ReportField.QUEUE,
-    "latency_ms": api.ReportField.WAIT_MS,
-    "can_take": api.ReportField.RATE_PER_S,
-    "hold_back": api.ReportField.HOLD_BACK,
-}
 _REDIALLED, _WAS_CUT = 2, 16  # bits of a request's flags
 _NOTE_MASK, _NOTE_PROCESSOR_FULL = 15, 3  # above the mask a wait may be coded
 
@@ -54,61 +43,6 @@
     """The other side broke the framing or named what was never introduced."""
 
 
-def _known(value: float | None) -> float | None:
-    """A figure, or None where the wire leaves it out or says -1."""
-    return None if value is None or value < 0 else value
-
-
-def read_settings(options: dict[str, Any]) -> api.Settings:
-    """The settings as the library names them; keys that it does not know are ignored."""
-    try:
-        rules, ceilings, family = options["rules"], options["ceilings"], options["family_info"]
-        report = options["load_report"]
-        pools, holds = family.get("skilled_pools"), family.get("class_hold_ms") or ()
-        classes = tuple(
-            api.CallClass(
-                name=profile["name"],
-                aim_ms=profile["aim_ms"],
-                deadline_ms=profile["deadline_ms"],
-                worth=profile["worth"],
-                late_worth=profile["late_worth"],
-                pools=None if pools is None else tuple(pools[number]),
-                hold_ms=holds[number] if number < len(holds) else None,
-            )
-            for number, profile in enumerate(options["profiles"])
-        )
-        return api.Settings(
-            instances=options["instances"],
-            classes=classes,
-            rules=api.Rules(
-                release_ms=family["clear_wait_ms"],
-                drain_grace_ms=rules["stop_sending_within_ms"],
-                answer_slack_ms=rules["answer_slack_ms"],
-                cold_share=rules["cold_share"],
-                warm_within_ms=rules["warm_within_ms"],
-                tip_multiple=rules["tip_multiple"],
-                tip_span_ms=rules["overload_for_ms"],
-            ),
-            max_attempts=ceilings["most_tries"],
-            tick_ms=options["tick_ms"],
-            resend_ms=_known(family.get("resend_ms")) or None,
-            contracts=tuple(
-                api.Contract(tenant["name"], tenant["quota_per_s"]) for tenant in options.get("tenants") or ()
-            ),
-            over_quota_worth=options.get("over_share_worth", 1.0),
-            reports=_SOURCES[report["via"]],
-            report_fields=tuple(_FIELDS[name] for name in report["names"] if name in _FIELDS),
-            probes_allowed=ceilings["probes"],
-            cancel_allowed=ceilings["cancel"],
-            retry_after_max_ms=(_known(ceilings.get("max_retry_after_ms")) or None) if ceilings["retry_after"]
-            else None,
-        )
-    except KeyError as missing:
-        raise api.SettingsError(f"setting {missing.args[0]!r} is missing or unknown") from None
-    except (TypeError, IndexError, AttributeError) as broken:
-        raise api.SettingsError(f"settings are malformed: {broken}") from None
-
-
 class Host:
     """Many controllers, each with nothing in common with the others, behind one wire."""
 
@@ -164,7 +98,7 @@
 
     def _entry(self, entry: list[Any]) -> api.Server:
         server, _zone, _kind, pool, phase, _units, born = entry
-        return api.Server(server, pool, _STATES[phase], _known(born) or None)
+        return api.Server(server, pool, _STATES[phase], known(born) or None)
 
     def _update(self, message: list[Any]) -> api.Event | None:
         if message[3] == "failed":
@@ -204,16 +138,16 @@
         if waited or report is not None or code != "GOOD":
             return api.ProbeAnswered(server, code == "GOOD", report)
         told = dict(zip(self._columns[instance], row or (), strict=False))
-        free, lines = _known(told.get("free")), _known(told.get("size"))
+        free, lines = known(told.get("free")), known(told.get("size"))
         return None if free is None or lines is None else api.LinesTold(server, free, lines)
 
     def _report(self, instance: int, row: list[float | None] | None) -> api.Report | None:
         if row is None:
             return None
         values = {
-            _FIELDS[name].value: _known(value)
+            REPORT_FIELDS[name].value: known(value)
             for name, value in zip(self._columns[instance], row, strict=False)
-            if name in _FIELDS
+            if name in REPORT_FIELDS
         }
         return api.Report(**values) if any(value is not None for value in values.values()) else None
 
@@ -281,7 +215,7 @@
     try:
         serve(sys.stdin, sys.stdout)
     except (WireError, LookupError, TypeError, ValueError) as fault:
-        print(f"meadowpier.wirehost: {fault}", file=sys.stderr)
+        print(f"canvasplank.wirehost: {fault}", file=sys.stderr)
         return 2
     return 0
 
--- a/meadowpier/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""meadowpier: the decisions of a call controller in front of central servers whose processors run short."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from meadowpier import interface as api
-from meadowpier.policy import Controller
+from canvasplank import interface as api
+from canvasplank.policy import Controller
 
 RULES = api.Rules(
     release_ms=250,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,9 +10,9 @@
 import pytest
 from conftest import HIGH, LOW, RULES, SETTINGS, Gateway, ready, sent_to, settings
 
-from meadowpier import interface as api
-from meadowpier import policy
-from meadowpier.interface import Outcome
+from canvasplank import interface as api
+from canvasplank import policy
+from canvasplank.interface import Outcome
 
 CLASSES = tuple(replace(c, hold_ms=8000.0) for c in (LOW, HIGH))
 
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -5,7 +5,7 @@
 import pytest
 from conftest import SETTINGS, Gateway, draining, ready
 
-from meadowpier import interface as api
+from canvasplank import interface as api
 
 
 @pytest.fixture
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-PACKAGE = Path(__file__).parent.parent / "meadowpier"
+PACKAGE = Path(__file__).parent.parent / "canvasplank"
 MOST_LINES, LONGEST_LINE = 650, 110
 
 
@@ -23,7 +23,7 @@
 
 
 def test_policy_names_its_interface_first():
-    assert "meadowpier/interface.py" in ast.get_docstring(tree("policy.py"))
+    assert "canvasplank/interface.py" in ast.get_docstring(tree("policy.py"))
 
 
 def test_only_the_gate_sends():
@@ -45,7 +45,7 @@
         if isinstance(node, ast.Import | ast.ImportFrom)
         for alias in node.names
     }
-    assert imported <= {"__future__", "random", "collections", "collections.abc", "meadowpier.interface"}
+    assert imported <= {"__future__", "random", "collections", "collections.abc", "canvasplank.interface"}
     assert set(re.findall(r"\brandom\.(\w+)", source)) <= {"Random"} | set(
         re.findall(r"_random\.(\w+)", source)
     )
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -7,10 +7,10 @@
 import pytest
 from conftest import HIGH, LOW, RULES, SETTINGS, Gateway, draining, gone, ready, sent_to, settings
 
-from meadowpier import interface as api
-from meadowpier import policy
-from meadowpier.interface import Outcome
-from meadowpier.policy import Controller, LeakyBucket
+from canvasplank import interface as api
+from canvasplank import policy
+from canvasplank.interface import Outcome
+from canvasplank.policy import Controller, LeakyBucket
 
 
 def answers(actions):
--- a/tests/test_rules_property.py
+++ b/tests/test_rules_property.py
@@ -13,8 +13,8 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from meadowpier import interface as api
-from meadowpier.interface import Outcome
+from canvasplank import interface as api
+from canvasplank.interface import Outcome
 
 NAMES = ("a", "b", "c")
 UNFINISHED = (
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from meadowpier import interface as api
-from meadowpier import wirehost
+from canvasplank import interface as api
+from canvasplank import wirehost
 
 ROOT = Path(__file__).parent.parent
 CALL = "5d3a91c4-a2ce-4abb-a7a1-c152b75ea37f"
@@ -44,7 +44,7 @@
 
 def run(*lines, raw=None):
     text = raw if raw is not None else "".join(json.dumps(line) + "\n" for line in lines)
-    command = [sys.executable, "-m", "meadowpier.wirehost"]
+    command = [sys.executable, "-m", "canvasplank.wirehost"]
     done = subprocess.run(command, input=text, capture_output=True, text=True, cwd=ROOT, check=False)
     return done, [json.loads(line) for line in done.stdout.splitlines()]
 
@@ -166,7 +166,7 @@
     done, lines = run(raw=raw)
     assert done.returncode == 2
     assert lines == []
-    assert len(done.stderr.splitlines()) == 1 and done.stderr.startswith("meadowpier.wirehost: ")
+    assert len(done.stderr.splitlines()) == 1 and done.stderr.startswith("canvasplank.wirehost: ")
 
 
 @pytest.mark.parametrize(
