Test the proxy with recorded exchanges, any split of bytes, and pauses of our own

Found on the way and mended: a number or class with line ends in it could have ended a SIP line early; parameters that are passed on must now be printable and without blanks.

--- a/canvasplank/__main__.py
+++ b/canvasplank/__main__.py
@@ -81,6 +81,7 @@
         """Serve on for a moment, then close the listener, answer all that is open, and leave."""
         if self._exchange.closing:
             return
+        LOG.info("told to stop")
         self._turns.begin()
         self._exchange.closing = True
         self._closing_ms = self._turns.now_ms
--- a/canvasplank/codecs/isup.py
+++ b/canvasplank/codecs/isup.py
@@ -61,9 +61,13 @@
         if value is None:
             raise BadMessageError(f"parameter {code.value} ({code.name.lower()}) is missing")
         try:
-            return value.decode()
+            text = value.decode()
         except UnicodeDecodeError:
             raise BadMessageError(f"parameter {code.value} ({code.name.lower()}) is not text") from None
+        if not text.isprintable() or " " in text:
+            # Guards the other side's lines: what is passed on must not be able to end one early.
+            raise BadMessageError(f"parameter {code.value} ({code.name.lower()}) holds blanks or controls")
+        return text
 
     @property
     def cause(self) -> int:
--- /dev/null
+++ b/tests/player.py
@@ -0,0 +1,244 @@
+"""Plays a recorded exchange of bytes against the program and compares: the one helper of the socket tests.
+
+A record is a text file of steps, one a line; ``#`` begins a comment.  Bytes are written as in a Python
+literal, and ``<*>`` in what is expected stands for anything short.
+
+    known a ready            a call server that listens and is in the list at the start; pools count from 0
+    known b refused|never    one whose address refuses connections, or whose connections never come up
+    start                    run the program; server a accepts the connection that is kept up to it
+    caller 1 sends BYTES     connects where it is not connected yet
+    caller 1 gets BYTES      the next bytes, exactly these
+    caller 1 silent MS       nothing comes for so long
+    caller 1 later MS BYTES  the next bytes, no sooner than so long after the last that anybody sent or closed
+    caller 1 closes          likewise for servers and the board
+    server a accepts         takes its next connection
+    board accepts / sends / gets
+    program signalled NAME / exits STATUS / prints REGEX
+"""
+
+from __future__ import annotations
+
+import codecs
+import contextlib
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+WAIT_S = 8.0  # for anything that is expected; a slow machine only takes longer
+SETTINGS = {
+    "instances": 1,
+    "tick_ms": 1.0,
+    "profiles": [
+        {"name": "low", "aim_ms": 1500.0, "deadline_ms": 9000.0, "worth": 1.0, "late_worth": 0.1},
+        {"name": "high", "aim_ms": 2000.0, "deadline_ms": 9000.0, "worth": 3.0, "late_worth": 0.1},
+    ],
+    "rules": {"answer_slack_ms": 20.0, "stop_sending_within_ms": 250.0, "cold_share": 0.29,
+              "warm_within_ms": 15000.0, "tip_multiple": 4.0, "overload_for_ms": 3000.0},
+    "ceilings": {"most_tries": 4, "cancel": True, "probes": False, "retry_after": False, "max_open": 100,
+                 "conn_idle_ms": 60000.0, "connect_timeout_ms": 300.0, "max_retry_after_ms": 2000.0},
+    "family_info": {"clear_wait_ms": 200.0, "resend_ms": 500.0, "skilled_pools": [[0, 1], [0, 1]]},
+    "load_report": {"names": ["free", "size"], "via": "on_probe"},
+}
+
+
+def literal(text: str) -> bytes:
+    """The bytes that a Python literal stands for."""
+    return codecs.escape_decode(text.encode())[0]
+
+
+def pattern(text: str) -> re.Pattern[bytes]:
+    return re.compile(rb".{0,400}?".join(re.escape(literal(part)) for part in text.split("<*>")), re.DOTALL)
+
+
+class Party:
+    """A caller, a call server or the notice board."""
+
+    acted_s = 0.0
+
+    def __init__(self, listens: bool) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0)) if listens else None
+        self.stream: socket.socket | None = None
+        self.came = b""
+        self.fillers: list[socket.socket] = []
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.listener.getsockname()[1]}"
+
+    def accepts(self, _: str = "") -> None:
+        self.listener.settimeout(WAIT_S)
+        self.stream, _address = self.listener.accept()
+        self.came = b""
+
+    def refuses(self) -> None:
+        self.listener.close()
+
+    def never_comes_up(self) -> None:
+        """Fill the queue of a listener that accepts nothing: further connections get no word."""
+        self.listener.listen(0)
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.listener.getsockname())
+            self.fillers.append(filler)
+
+    def sends(self, text: str) -> None:
+        Party.acted_s = time.monotonic()
+        self.stream.sendall(literal(text))
+
+    def gets(self, text: str) -> None:
+        wanted, until = pattern(text), time.monotonic() + WAIT_S
+        while (match := wanted.match(self.came)) is None:
+            self.stream.settimeout(max(0.01, until - time.monotonic()))
+            try:
+                more = self.stream.recv(65536)
+            except TimeoutError:
+                raise AssertionError(f"wanted {text!r}, came {self.came!r}") from None
+            assert more, f"wanted {text!r}, came {self.came!r} and the end"
+            self.came += more
+        self.came = self.came[match.end():]
+
+    def later(self, text: str) -> None:
+        after_ms, wanted = text.split(" ", 1)
+        self.gets(wanted)
+        assert (time.monotonic() - Party.acted_s) * 1000 >= float(after_ms)
+
+    def silent(self, text: str) -> None:
+        self.stream.settimeout(float(text) / 1000)
+        with contextlib.suppress(TimeoutError):
+            self.came += self.stream.recv(65536)
+        assert not self.came, f"wanted nothing, came {self.came!r}"
+
+    def ended(self, _: str = "") -> None:
+        self.stream.settimeout(WAIT_S)
+        try:
+            more = self.stream.recv(65536)
+        except ConnectionResetError:
+            more = b""
+        assert not self.came + more, f"wanted the end, came {self.came + more!r}"
+
+    def shuts(self, _: str = "") -> None:
+        self.stream.shutdown(socket.SHUT_WR)
+
+    def closes(self, _: str = "") -> None:
+        Party.acted_s = time.monotonic()
+        self.stream.close()
+        self.stream = None
+
+    def close(self) -> None:
+        for each in (self.listener, self.stream, *self.fillers):
+            if each is not None:
+                each.close()
+
+
+class Player:
+    """One program and all that it talks to."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.parties: dict[str, Party] = {"board": Party(listens=True)}
+        self.known: list[dict] = []
+        self.listen = ""
+        self.process: subprocess.Popen | None = None
+        self.log = folder / "log"
+
+    def entry(self, name: str, state: str = "ready", started_ms: int = 0, cell: int | None = None) -> dict:
+        cell = len(self.known) if cell is None else cell
+        return {"instanceId": f"s-{name}", "hostPort": self.parties[f"server {name}"].address, "cell": cell,
+                "lifecycle": state, "startedAtMs": started_ms, "zone": "z", "new": True}
+
+    def add(self, name: str, how: str) -> None:
+        party = self.parties[f"server {name}"] = Party(listens=True)
+        self.known.append(self.entry(name))
+        {"refused": party.refuses, "never": party.never_comes_up}.get(how, lambda: None)()
+
+    def start(self, **changes: object) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.listen = f"127.0.0.1:{free.getsockname()[1]}"
+        configuration = {
+            "name": "n0", "listen": self.listen, "seed": "8c1f30d27a5be964", "settings": SETTINGS,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 64}, "board": self.parties["board"].address,
+            "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"reset": True, "instances": self.known}}]},
+        } | changes
+        path = self.folder / "config.json"
+        path.write_text(json.dumps(configuration))
+        environment = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")}
+        with self.log.open("wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "canvasplank"], cwd=ROOT, stderr=log, stdout=log,
+                env=environment | {"EDGE_CONFIG": str(path)},
+            )
+
+    def stop(self) -> None:
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+        for party in self.parties.values():
+            party.close()
+
+    def caller(self, number: str) -> Party:
+        name = f"caller {number}"
+        if name not in self.parties or self.parties[name].stream is None:
+            host, port = self.listen.split(":")
+            until = time.monotonic() + WAIT_S
+            party = self.parties[name] = Party(listens=False)
+            while party.stream is None:
+                try:
+                    party.stream = socket.create_connection((host, int(port)))
+                except ConnectionRefusedError:
+                    assert time.monotonic() < until and self.process.poll() is None, self.log.read_text()
+                    time.sleep(0.02)
+        return self.parties[name]
+
+    def step(self, line: str) -> None:
+        """One line of a record."""
+        words = line.split(" ", 3)
+        match words:
+            case ["known", name, how]:
+                self.add(name, how)
+            case ["start"]:
+                self.start()
+            case ["caller", number, verb, *rest]:
+                getattr(self.caller(number), verb)(*rest)
+            case ["server", name, verb, *rest]:
+                getattr(self.parties[f"server {name}"], verb)(*rest)
+            case ["board", "tells", number, what]:
+                name, state, started = what.split(" ")
+                started_ms = int(time.time() * 1000) if started == "now" else int(started)
+                cell = next(e["cell"] for e in self.known if e["instanceId"] == f"s-{name}")
+                pool = {"reset": False, "instances": [self.entry(name, state, started_ms, cell)]}
+                data = json.dumps({"rev": int(number), "pool": pool})
+                self.parties["board"].stream.sendall(f"id: {number}\ndata: {data}\n\n".encode())
+            case ["board", verb, *rest]:
+                getattr(self.parties["board"], verb)(" ".join(rest))
+            case ["program", "signalled", name]:
+                self.process.send_signal(signal.Signals[name])
+            case ["program", "exits", status]:
+                assert self.process.wait(WAIT_S) == int(status), self.log.read_text()
+            case ["program", "prints", *rest]:
+                self.prints(" ".join(rest))
+            case _:
+                raise ValueError(f"not a step: {line!r}")
+
+    def prints(self, regex: str) -> None:
+        until = time.monotonic() + WAIT_S
+        while not re.search(regex, self.log.read_text()):
+            assert time.monotonic() < until, f"wanted {regex!r} in {self.log.read_text()!r}"
+            time.sleep(0.02)
+
+    def play(self, record: str) -> None:
+        """All steps; a failure names the line."""
+        for number, line in enumerate(record.splitlines(), 1):
+            if line.strip() and not line.startswith("#"):
+                try:
+                    self.step(line)
+                except (AssertionError, OSError) as fault:
+                    log = self.log.read_text()
+                    raise AssertionError(f"line {number}: {line[:100]}\n{fault}\n{log}") from fault
--- /dev/null
+++ b/tests/test_codecs.py
@@ -0,0 +1,86 @@
+"""The codecs alone: any split of the bytes reads the same, and what is wrong is named."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from canvasplank.codecs import isup, sip, sse
+from canvasplank.codecs.errors import MESSAGE_MOST, BadMessageError
+
+ID = "9e847923b2a4a452"
+ISUP = isup.answer(ID, b"v=0") + isup.release(ID, 42) + isup.release_heard(ID)
+SIP = (
+    sip.request("INVITE", "7f3a", ID, 1, {"X-Tier": "voice"}, b"a\r\n\r\nb") + b"\r\n"
+    + b"SIP/2.0 503 Full\r\ncall-id: x\r\nCSeq: 12 INVITE\r\nX-Outcome: cpu_full\r\nContent-Length: 0\r\n\r\n"
+    + b"BYE sip:x@net SIP/2.0\r\nCall-ID: y\r\nReason: Q.850;cause=41\r\nContent-Length:0\r\n\r\n"
+)
+EVENTS = b": a comment\n\nid: 7\ndata: one\ndata: two\n\nid:8\r\ndata:\xc5\x91\r\n\r\n"
+PLAIN = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + EVENTS
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"".join(
+    b"%x\r\n%s\r\n" % (len(part), part) for part in (EVENTS[:5], EVENTS[5:30], EVENTS[30:])
+)
+STREAMS = [(isup.Parser, ISUP), (sip.Parser, SIP), (sse.Parser, PLAIN), (sse.Parser, CHUNKED)]
+
+
+def read(parser, data: bytes, cuts=()) -> list:
+    edges = [0, *sorted(cut % (len(data) + 1) for cut in cuts), len(data)]
+    reader = parser()
+    return [m for a, b in itertools.pairwise(edges) for m in reader.feed(memoryview(data)[a:b])]
+
+
+@pytest.mark.parametrize(("parser", "data"), STREAMS)
+@given(cuts=st.lists(st.integers(0, 10_000), max_size=12))
+def test_any_split_reads_the_same(parser, data, cuts):
+    assert read(parser, data, cuts) == read(parser, data)
+
+
+def test_what_is_read():
+    answer, release, heard = read(isup.Parser, ISUP)
+    assert (answer.call_id, answer.parameters[isup.Parameter.DESCRIPTION], release.cause) == (ID, b"v=0", 42)
+    assert heard.kind == isup.Kind.RELEASE_HEARD
+    invite, full, bye = read(sip.Parser, SIP)
+    assert (invite.method, invite.call_id, invite.sequence, invite.body) == ("INVITE", ID, 1, b"a\r\n\r\nb")
+    assert (full.method, full.status, full.sequence) == ("INVITE", 503, 12)
+    assert full.headers["x-outcome"] == "cpu_full"
+    assert (bye.status, bye.cause) == (0, 41)
+    for data in (PLAIN, CHUNKED):
+        assert read(sse.Parser, data) == [sse.Event("7", "one\ntwo"), sse.Event("8", "\u0151")]
+
+
+@pytest.mark.parametrize(
+    ("parser", "data", "names"),
+    [
+        (isup.Parser, b"\x00\x03\x01AB", "length 3 is not between"),
+        (isup.Parser, b"\x40\x00\x01", "length 16384 is not between"),
+        (isup.Parser, b"\x00\x0b\x01AAAAAAAA\x64\x00", "parameter at byte 11 is cut short"),
+        (isup.Parser, b"\x00\x0c\x01AAAAAAAA\x64\x00\x05", "parameter 100 says 5 bytes where 0 are left"),
+        (sip.Parser, b"HELLO\r\n\r\n", "Content-Length is missing"),
+        (sip.Parser, b"HELLO\r\nContent-Length: 0\r\n\r\n", "not a start line"),
+        (sip.Parser, b"BYE sip:x SIP/2.0\r\nContent-Length: -1\r\n\r\n", "is not a number"),
+        (sip.Parser, b"BYE sip:x SIP/2.0\r\nno colon\r\n\r\n", "not a header"),
+        (sip.Parser, b"BYE sip:x SIP/2.0\r\nContent-Length: 16384\r\n\r\n", f"over {MESSAGE_MOST} bytes"),
+        (sip.Parser, b"SIP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n", "names no method"),
+        (sip.Parser, b"X" * (MESSAGE_MOST + 1), "no end of the headers"),
+        (sip.Parser, b"\xff\r\n\r\n", "not UTF-8"),
+        (sse.Parser, b"HTTP/1.1 503 Busy\r\n\r\n", "not a success"),
+        (sse.Parser, CHUNKED.replace(b"chunked\r\n\r\n", b"chunked\r\n\r\nzz\r\n"), "chunk length"),
+        (sse.Parser, b"HTTP/1.1 200 OK\r\n\r\n" + b"data: x\n" * 300_000, "event of over"),
+    ],
+)
+def test_what_is_wrong_is_named(parser, data, names):
+    with pytest.raises(BadMessageError, match=names):
+        read(parser, data)
+
+
+BAD_TEXTS = [(None, "is missing"), (b"\xff", "is not text"), (b"a b", "holds")]
+
+
+@pytest.mark.parametrize(("value", "names"), BAD_TEXTS)
+def test_a_parameter_that_cannot_be_used_is_named(value, names):
+    message = isup.Message(1, ID, {} if value is None else {isup.Parameter.CLASS: value})
+    with pytest.raises(BadMessageError, match=rf"parameter 100 \(class\) {names}"):
+        message.text(isup.Parameter.CLASS)
--- /dev/null
+++ b/tests/test_deadlines.py
@@ -0,0 +1,86 @@
+"""Deadlines and turns: what has arrived is read before time tells anything."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from canvasplank.deadlines import Deadlines, Turns
+
+
+def test_they_come_due_in_order_and_can_be_taken_out():
+    deadlines, done = Deadlines(), []
+    for name, at in (("c", 30), ("a", 10), ("x", 15), ("b", 20)):
+        handle = deadlines.add(at, lambda name=name: done.append(name))
+        if name == "x":
+            deadlines.discard(handle)
+            deadlines.discard(handle)
+    assert deadlines.next_ms() == 10
+    while (due := deadlines.pop_due(25)) is not None:
+        due[2]()
+    assert done == ["a", "b"] and len(deadlines) == 1
+
+
+def test_the_clock_stands_still_in_a_turn_and_never_runs_back():
+    times = iter([100.0, 110.0, 90.0, 90.0, 90.0])
+    seen = []
+
+    async def run() -> None:
+        turns = Turns(Deadlines(), clock=lambda: next(times, 90.0))
+        turns.begin()
+        turns.begin()
+        seen.append(turns.now_ms)
+        for _ in range(5):
+            await asyncio.sleep(0)
+        turns.begin()
+        seen.append(turns.now_ms)
+
+    asyncio.run(run())
+    assert seen == [110.0, 110.0]
+
+
+def test_a_pause_of_ours_is_read_up_before_time_tells():
+    """What came while we stood still is told before any deadline that passed meanwhile."""
+    told = []
+
+    async def run() -> None:
+        now = [0.0]
+        turns = Turns(Deadlines(), clock=lambda: now[0])
+        left, right = socket.socketpair()
+        right.setblocking(False)
+
+        def read() -> None:
+            turns.begin()
+            told.append(right.recv(1))
+
+        asyncio.get_running_loop().add_reader(right, read)
+        turns.after(50, lambda: told.append("deadline"))
+        turns.begin()
+        for _ in range(5):
+            await asyncio.sleep(0)
+        left.send(b"12")  # read one byte a look, as a long arrival is
+        now[0] = 1000.0
+        turns.begin()
+        while "deadline" not in told:
+            await asyncio.sleep(0)
+        asyncio.get_running_loop().remove_reader(right)
+        left.close()
+        right.close()
+
+    asyncio.run(asyncio.wait_for(run(), 10))
+    assert told == [b"1", b"2", "deadline"]
+
+
+def test_one_action_that_fails_keeps_no_other_from_being_done():
+    done = []
+
+    async def run() -> None:
+        turns = Turns(Deadlines(), clock=lambda: 5.0)
+        turns.deadlines.add(1, lambda: 1 / 0)
+        turns.deadlines.add(2, lambda: done.append("second"))
+        turns.begin()
+        for _ in range(5):
+            await asyncio.sleep(0)
+
+    asyncio.run(run())
+    assert done == ["second"]
