Carry releases over lost and quiet connections; end what a gone server held at once

Checked by records: a release goes to a connection that carries calls, else after 0.5 s to any; one that crosses a close, or went out on a connection that died, goes out again; descriptors running out and peers that do not read.

--- a/canvasplank/__main__.py
+++ b/canvasplank/__main__.py
@@ -31,7 +31,8 @@
 
 LOG = logging.getLogger(__name__)
 SERVE_ON_MS = 700.0  # after SIGTERM callers may still come for so long
-LEAVE_MS = 3400.0  # after SIGTERM; whatever is open then is failed, before anybody kills us
+LONGEST_MS = 3000.0  # a caller's deadline counts as no longer than this when we are to end
+LEAVE_EARLY_MS = 300.0  # whatever is open so long before somebody may kill us is failed
 LOOK_MS = 20.0
 FLUSH_MS = 200.0  # for the last bytes to leave
 
@@ -52,6 +53,8 @@
         self._servers = Servers(self._exchange, ceilings)
         self._exchange.servers = self._servers
         self._board = Board(self._turns, configuration.board, configuration.known.rev, self._notice)
+        longest_ms = min(LONGEST_MS, max(c.deadline_ms for c in settings.classes))
+        self._leave_ms = longest_ms + SERVE_ON_MS - LEAVE_EARLY_MS
         self._closing_ms = 0.0
         self._done = asyncio.Event()
 
@@ -89,7 +92,7 @@
 
     def _wind_up(self) -> None:
         self._callers.stop_listening()
-        if self._turns.now_ms - self._closing_ms >= LEAVE_MS:
+        if self._turns.now_ms - self._closing_ms >= self._leave_ms:
             self._exchange.fail_all()
         if self._exchange.open_calls:
             self._turns.after(LOOK_MS, self._wind_up)
@@ -129,8 +132,8 @@
 
 
 async def _serve(configuration: Configuration) -> None:
-    gc.freeze()
     program = Program(configuration)
+    gc.freeze()  # what is made at the start stays: collections need not look at it
     with contextlib.suppress(asyncio.CancelledError):
         await program.run()
     program.print_counters()
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -17,6 +17,9 @@
 OWED_MOST = 20_000  # releases kept while no caller is connected
 SHARE_OF_SOCKETS = 0.6  # the most that callers may hold, so that servers, board and files find room
 IDLE_LOOK_MS = 1000.0
+OWED_MS = 500.0  # a release waits so long for a connection of callers' own, then any will do
+UNHEARD_MS = 1000.0  # a release this old has been read, whether or not the caller says so
+UNHEARD_MOST = 1000
 
 
 class CallerStream(Stream):
@@ -28,6 +31,8 @@
         self._parser = isup.Parser()
         self.open: set[str] = set()  # set-ups that came here and lack their answer
         self.half_closed = False
+        self.calls = False  # whether it has carried calls, and not only tests
+        self.unheard: dict[str, tuple[int, float]] = {}  # releases not confirmed: cause, time
 
     def connected(self) -> None:
         """Take it into the pool."""
@@ -49,6 +54,13 @@
         """Its unanswered set-ups have nobody left to answer."""
         self._callers.left(self)
 
+    def release(self, call_id: str, cause: int) -> None:
+        """Write the release of a call that stood."""
+        self.unheard[call_id] = cause, self.turns.now_ms
+        if len(self.unheard) > UNHEARD_MOST:
+            del self.unheard[next(iter(self.unheard))]
+        self.write(isup.release(call_id, cause))
+
     def answered(self, call_id: str, data: bytes) -> None:
         """Write a final answer."""
         self.open.discard(call_id)
@@ -96,16 +108,31 @@
 
     def release(self, origin: Hashable | None, call_id: str, cause: int) -> None:
         """See ``CallerSide``; no connection owns a standing call: any will do, or the next one to come."""
-        stream = origin if origin is not None and origin.is_open and not origin.half_closed else self._any()
+        usable = origin is not None and origin.is_open and not origin.half_closed
+        stream = origin if usable else self._any(calls=True)
         if stream is not None:
             self.exchange.counters.add("sent.releases_to_callers")
-            stream.write(isup.release(call_id, cause))
+            stream.release(call_id, cause)
         elif len(self._owed) < OWED_MOST:
             self._owed[call_id] = cause
+            self.exchange.turns.after(OWED_MS, lambda: self._pay(self._any(calls=False)))
+
+    def _any(self, *, calls: bool) -> CallerStream | None:
+        """The newest connection, the least likely to be closed now; with ``calls``, one that carries them.
 
-    def _any(self) -> CallerStream | None:
-        """The newest connection: the least likely to be closed just now."""
-        return next((s for s in reversed(self.streams) if s.is_open and not s.half_closed), None)
+        Guards against handing a release to whoever only tests us, which knows nothing of calls.
+        """
+        usable = (s for s in reversed(self.streams) if s.is_open and not s.half_closed)
+        return next((s for s in usable if s.calls or not calls), None)
+
+    def _pay(self, stream: CallerStream | None) -> None:
+        """Write the releases that have waited for a connection."""
+        if stream is None:
+            return
+        owed, self._owed = self._owed, {}
+        for call_id, cause in owed.items():
+            self.exchange.counters.add("sent.releases_to_callers")
+            stream.release(call_id, cause)
 
     # -------------------------------------------------------------------------------- for the connections
 
@@ -115,18 +142,25 @@
         self.streams[stream] = None
         if len(self.streams) > self._most:
             self._make_room()
-        owed, self._owed = self._owed, {}
-        for call_id, cause in owed.items():
-            self.release(stream, call_id, cause)
+        if self._owed:
+            self.exchange.turns.after(OWED_MS, lambda: self._pay(self._any(calls=False)))
 
     def left(self, stream: CallerStream) -> None:
         """A connection from callers has ended."""
         self.streams.pop(stream, None)
         for call_id in list(stream.open):
             self.exchange.caller_lost(call_id, stream)
+        # Guards against a release that crosses the caller's close of an idle connection: it goes out again.
+        newest_ms = self.exchange.turns.now_ms - UNHEARD_MS
+        for call_id, (cause, sent_ms) in stream.unheard.items():
+            if sent_ms > newest_ms:
+                self.release(None, call_id, cause)
 
     def take(self, stream: CallerStream, message: isup.Message) -> None:
         """One message from a caller; types that mean nothing here are passed over."""
+        if message.kind != isup.Kind.TEST and not stream.calls:
+            stream.calls = True
+            self._pay(stream)
         match message.kind:
             case isup.Kind.SET_UP:
                 call = self._call(stream, message)
@@ -136,6 +170,8 @@
                 stream.open.discard(message.call_id)
                 self.exchange.give_up(message.call_id, message.cause)
                 stream.write(isup.release_heard(message.call_id))
+            case isup.Kind.RELEASE_HEARD:
+                stream.unheard.pop(message.call_id, None)
             case isup.Kind.TEST:
                 stream.write(isup.test_result(message.call_id, not self.exchange.closing))
 
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -22,6 +22,7 @@
 QUIET_MS = 2500.0  # a server tells its lines every second; one that says nothing for so long may be cut off
 LOOK_MS = 250.0  # between two looks at quiet connections
 OWED_MOST = 10_000  # releases kept for a server that cannot be reached
+UNHEARD_MOST = 1000  # releases sent on one connection and not confirmed
 OUTCOMES = {
     480: api.Outcome.NOT_SENT,
     503: api.Outcome.FULL,
@@ -57,6 +58,7 @@
         self.address = peer.address
         self.open: dict[str, int] = {}  # set-ups sent here and not ended, with the numbers of their attempts
         self.waiting: dict[str, tuple[int, bytes]] = {}  # set-ups for when it is up
+        self.unheard: dict[str, int] = {}  # releases sent here and not confirmed, with their causes
         self.connecting: Connecting | None = None
         self.made_ms = self.turns.now_ms
         self._parser = sip.Parser()
@@ -112,9 +114,13 @@
             backoff = Backoff(self.turns, BACKOFF_MS, BACKOFF_MOST_MS)
             peer = Peer(server.id, entry.host_port, server.state, server.started_ms, backoff)
             self._peers[server.id] = peer
-        elif server.started_ms != peer.started_ms or entry.host_port != peer.address:
-            peer.started_ms, peer.address = server.started_ms, entry.host_port
-            self._restarted(peer)
+        else:
+            if entry.host_port != peer.address:
+                peer.address = entry.host_port
+                self._leave(peer)
+            if server.started_ms != peer.started_ms:
+                peer.started_ms = server.started_ms
+                self._restarted(peer)
         peer.state = server.state
         if server.state is api.ServerState.DRAINING:
             self._recall(peer)
@@ -123,28 +129,37 @@
     def _restarted(self, peer: Peer) -> None:
         """A fresh process under the same name: what the old one held is over, its connections are dead."""
         started_ms = peer.started_ms or self.turns.now_ms
-        for stream in [s for s in peer.streams if s.made_ms < started_ms]:
+        self._drop([s for s in peer.streams if s.made_ms < started_ms])
+        self.exchange.process_over(peer.server_id, started_ms)
+
+    def _leave(self, peer: Peer) -> None:
+        """Its address has changed: what is open stays, what comes goes to the new one."""
+        current, peer.current = peer.current, None
+        if current is not None and current.connecting is not None:
+            self._failed(current, "its address has changed")
+
+    def _drop(self, streams: list[ServerStream]) -> None:
+        """Connections to a process that is no more: half-open ones would never end by themselves."""
+        for stream in streams:
             stream.transport.abort()
             self.left(stream)
-        current = peer.current
-        if current is not None and current.connecting is not None and current.address != peer.address:
-            self._failed(current, "its address has changed")
-        self.exchange.process_over(peer.server_id, started_ms)
 
     def _gone(self, peer: Peer) -> None:
         """It has stopped.  While it still speaks to us it can release its calls itself."""
         peer.state = api.ServerState.GONE
         self._recall(peer)
         if any(s.is_open and self.turns.now_ms - s.heard_ms < QUIET_MS for s in peer.streams):
-            self.turns.after(LOOK_MS, lambda: self._peers.get(peer.server_id) is peer and self._gone(peer))
+            self.turns.after(LOOK_MS, lambda: self._still_gone(peer))
             return
         self._peers.pop(peer.server_id, None)
         if peer.current is not None and peer.current.connecting is not None:
             self._failed(peer.current, "gone")
         self.exchange.process_over(peer.server_id, float("inf"))
-        for stream in list(peer.streams):
-            if not stream.open:
-                stream.close()
+        self._drop(list(peer.streams))
+
+    def _still_gone(self, peer: Peer) -> None:
+        if self._peers.get(peer.server_id) is peer and peer.state is api.ServerState.GONE:
+            self._gone(peer)
 
     def _recall(self, peer: Peer) -> None:
         """Nothing new may reach it, not even what waits for a connection or lies unsent in one (rule 3)."""
@@ -213,6 +228,9 @@
 
     def _bye(self, stream: ServerStream, call_id: str, cause: int) -> None:
         self.exchange.counters.add("sent.releases_to_servers")
+        stream.unheard[call_id] = cause
+        if len(stream.unheard) > UNHEARD_MOST:
+            del stream.unheard[next(iter(stream.unheard))]
         stream.write(sip.request("BYE", "call", call_id, 1, {"Reason": f"Q.850;cause={cause}"}))
 
     # -------------------------------------------------------------------------------- connections
@@ -265,6 +283,7 @@
         peer.streams.remove(stream)
         if peer.current is stream:
             peer.current = None
+        self._owe_again(stream)
         broken, stream.open = stream.open, {}
         for call_id, attempt in broken.items():
             self.exchange.ended(peer.server_id, call_id, attempt, api.Outcome.RESET)
@@ -288,11 +307,19 @@
             current = peer.current
             if current is not None and current.is_open and now_ms - current.heard_ms > QUIET_MS:
                 peer.current = None
+                self._owe_again(current)
             if self._listed(peer):
                 self._connect(peer)
             self._retire(peer)
         self.turns.after(LOOK_MS, self._look)
 
+    def _owe_again(self, stream: ServerStream) -> None:
+        """Guards against releases lost on a connection that has died: they go out on the next one."""
+        owed, stream.unheard = stream.unheard, {}
+        for call_id, cause in owed.items():
+            if len(stream.peer.owed) < OWED_MOST:
+                stream.peer.owed[call_id] = cause
+
     def _retire(self, peer: Peer) -> None:
         """Close connections that another has taken the place of, once nothing is open on them."""
         if peer.current is None or not peer.current.is_open:
@@ -320,6 +347,8 @@
                 stream.write(sip.response(OK, "OK", message))
 
     def _response(self, stream: ServerStream, message: sip.Message) -> None:
+        if message.method == "BYE":
+            stream.unheard.pop(message.call_id, None)
         if message.method == "OPTIONS":
             self._probed(message.call_id, message.status == OK, _report(_gauges(message)))
         if message.method != "INVITE" or message.status < OK:
--- a/tests/player.py
+++ b/tests/player.py
@@ -23,6 +23,7 @@
 import json
 import os
 import re
+import resource
 import signal
 import socket
 import subprocess
@@ -159,7 +160,7 @@
         self.known.append(self.entry(name))
         {"refused": party.refuses, "never": party.never_comes_up}.get(how, lambda: None)()
 
-    def start(self, **changes: object) -> None:
+    def start(self, descriptors: int = 1024, **changes: object) -> None:
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.listen = f"127.0.0.1:{free.getsockname()[1]}"
         configuration = {
@@ -174,6 +175,7 @@
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "canvasplank"], cwd=ROOT, stderr=log, stdout=log,
                 env=environment | {"EDGE_CONFIG": str(path)},
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)),
             )
 
     def stop(self) -> None:
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -37,3 +37,33 @@
     assert player.process.wait(10) != 0
     printed = player.log.read_text()
     assert says in printed and printed.count("\n") == 1 and "Traceback" not in printed
+
+
+def test_callers_that_take_every_descriptor_do_not_end_it(player):
+    """Accepting fails for a while, and goes on when descriptors are free again."""
+    player.add("a", "ready")
+    player.start(descriptors=20)
+    player.step("server a accepts")
+    crowd = [player.caller(str(number)) for number in range(40)]
+    for party in crowd:
+        party.closes()
+    for line in (RECORDS[0].parent / "call.txt").read_text().splitlines():
+        if line.startswith(("caller", "server a sends", "server a gets")):
+            player.step(line)
+
+
+def test_a_peer_that_does_not_read_is_paused_and_costs_no_memory(player):
+    """Tests without end from a caller that reads no answer: it is read no further, others are served."""
+    player.start()
+    caller = player.caller("1")
+    caller.stream.settimeout(1.0)
+    test = b"\x00\x0d\x34" + b"A" * 8 + b"\x8e\x00\x01\x00"
+    with pytest.raises(TimeoutError):
+        for _ in range(4000):
+            caller.stream.sendall(test * 1000)
+    other = player.caller("2")
+    other.stream.sendall(test)
+    other.gets("\\x00\\x0d\\x35AAAAAAAA\\x8e\\x00\\x01\\x01")
+    status = (Path("/proc") / str(player.process.pid) / "status").read_text()
+    resident_kb = int(status.split("VmRSS:")[1].split()[0])
+    assert resident_kb < 100_000
