--- a/canvasplank/network/board.py
+++ b/canvasplank/network/board.py
@@ -66,7 +66,8 @@
         Connecting(stream, self.address, CONNECT_MS, lambda why: self._failed(stream, why))
 
     def _failed(self, stream: BoardStream, why: str) -> None:
-        LOG.info("notice board: no connection: %s", why)
+        if self._backoff.failures == 0:
+            LOG.info("notice board: no connection: %s", why)
         self.left(stream)
 
     def left(self, stream: BoardStream) -> None:
--- a/canvasplank/network/connecting.py
+++ b/canvasplank/network/connecting.py
@@ -58,16 +58,19 @@
         self._first_ms, self._most_ms = first_ms, most_ms
         self._next_ms = first_ms
         self._waiting = False
+        self.failures = 0  # since the last success: the first is worth a line to the operators
 
     def succeeded(self) -> None:
         """The next wait is the shortest again."""
         self._next_ms = self._first_ms
+        self.failures = 0
 
     def then(self, action: Callable[[], None]) -> None:
         """Do it after the next wait; while one is under way, asking again changes nothing."""
         if self._waiting:
             return
         self._waiting = True
+        self.failures += 1
 
         def come_due() -> None:
             self._waiting = False
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -44,6 +44,7 @@
     started_ms: float | None
     backoff: Backoff
     current: ServerStream | None = None  # where the next message goes; it may still be connecting
+    tells: bool = False  # it has told the state of its lines
     streams: list[ServerStream] = field(default_factory=list)  # all that are up
     owed: dict[str, int] = field(default_factory=dict)  # causes of releases for the next connection
 
@@ -268,7 +269,8 @@
         stream.connecting = None
         if peer.current is stream:
             peer.current = None
-        LOG.info("%s: no connection: %s", stream.label, why)
+        if peer.backoff.failures == 0:
+            LOG.info("%s: no connection: %s", stream.label, why)
         self.exchange.counters.add("sockets.servers_failed")
         waiting, stream.waiting = stream.waiting, {}
         for call_id, (attempt, _) in waiting.items():
@@ -305,7 +307,7 @@
         now_ms = self.turns.now_ms
         for peer in list(self._peers.values()):
             current = peer.current
-            if current is not None and current.is_open and now_ms - current.heard_ms > QUIET_MS:
+            if current is not None and self._expected(current) and now_ms - current.heard_ms > QUIET_MS:
                 peer.current = None
                 self._owe_again(current)
             if self._listed(peer):
@@ -313,6 +315,13 @@
             self._retire(peer)
         self.turns.after(LOOK_MS, self._look)
 
+    def _expected(self, stream: ServerStream) -> bool:
+        """Whether something should have come: a server goes on telling its lines, and answers set-ups.
+
+        Guards against taking up connections over and over to a server that has nothing to say.
+        """
+        return stream.is_open and (stream.peer.tells or bool(stream.open))
+
     def _owe_again(self, stream: ServerStream) -> None:
         """Guards against releases lost on a connection that has died: they go out on the next one."""
         owed, stream.unheard = stream.unheard, {}
@@ -340,6 +349,7 @@
                 cause = NORMAL_CLEARING if message.cause is None else message.cause
                 self.exchange.released(stream.peer.server_id, message.call_id, cause)
             case "NOTIFY":
+                stream.peer.tells = True
                 gauges = _gauges(message)
                 if "free" in gauges and "size" in gauges:
                     self.exchange.lines_told(stream.peer.server_id, gauges["free"], gauges["size"])
--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,45 @@
+"""The example of the README works as it stands, but for its ports, which here are free ones."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_a_toy_call_goes_through(tmp_path):
+    taken = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
+    proxy, sip, board = (str(s.getsockname()[1]) for s in taken)
+    for each in taken:
+        each.close()
+    text = (ROOT / "examples/config.json").read_text()
+    for written, free in (("2905", proxy), ("2906", sip), ("4222", board)):
+        text = text.replace(f":{written}", f":{free}")
+    config = tmp_path / "config.json"
+    config.write_text(json.dumps(json.loads(text)))
+    environment = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")}
+    environment["EDGE_CONFIG"] = str(config)
+
+    def run(*words: str) -> subprocess.Popen:
+        return subprocess.Popen([sys.executable, "-m", *words], cwd=ROOT, env=environment, text=True,
+                                stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
+
+    server = run("examples.toy_server", sip, board)
+    assert "ready" in server.stdout.readline()
+    program = run("canvasplank")
+    try:
+        until = time.monotonic() + 10
+        while "listens" not in program.stdout.readline():
+            assert time.monotonic() < until
+        caller = run("examples.toy_caller", f"127.0.0.1:{proxy}")
+        assert caller.communicate(timeout=15)[0].splitlines() == ["stands: toy answer", "over, cause 16"]
+    finally:
+        for each in (server, program):
+            each.kill()
+            each.communicate()
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -74,3 +74,35 @@
 def test_the_adapter_reads_no_state_of_a_controller():
     source = (PACKAGE / "wirehost.py").read_text()
     assert set(re.findall(r"controller\.(\w+)", source)) == {"handle"}
+
+
+PACKAGE_NAME = "canvasplank"
+# From the bottom up: a module imports only what stands before it.
+LAYERS = [
+    "interface", "codecs.errors", "codecs.isup", "codecs.sip", "codecs.sse", "counters", "deadlines",
+    "policy", "settings", "wirehost", "exchange", "network.stream", "network.connecting", "network.callers",
+    "network.servers", "network.board", "__main__",
+]
+
+
+def imports_of(module: str) -> set[str]:
+    found = set()
+    for node in ast.walk(tree(module.replace(".", "/") + ".py")):
+        if isinstance(node, ast.ImportFrom) and (node.module or "").startswith(PACKAGE_NAME):
+            rest = (node.module or "").removeprefix(PACKAGE_NAME).removeprefix(".")
+            names = {".".join(filter(None, (rest, alias.name))) for alias in node.names}
+            found |= {rest} if rest in LAYERS else names
+    return found
+
+
+def test_imports_go_downward():
+    modules = {str(p.relative_to(PACKAGE).with_suffix("")).replace("/", ".") for p in PACKAGE.rglob("*.py")}
+    assert {m for m in modules if not m.endswith("__init__")} == set(LAYERS)
+    for at, module in enumerate(LAYERS):
+        assert imports_of(module) <= set(LAYERS[:at]), module
+
+
+def test_callers_and_servers_meet_only_in_the_exchange():
+    assert not imports_of("network.callers") & {"network.servers", "network.board"}
+    assert not imports_of("network.servers") & {"network.callers", "network.board"}
+    assert not any(name.startswith("network") for name in imports_of("exchange"))
