Match answers by Call-ID and connection: those to second attempts were taken back

Ruled out: answers that cross a cancel (7 cancels, none crossed). At fault: Servers._response, which read the attempt from the number in CSeq.

--- a/canvasplank/exchange.py
+++ b/canvasplank/exchange.py
@@ -188,7 +188,7 @@
 
     # ------------------------------------------------------------------------------------ from the servers
 
-    def established(self, server_id: str, call_id: str, attempt: int, description: bytes) -> None:
+    def established(self, server_id: str, call_id: str, attempt: int | None, description: bytes) -> None:
         """A server answered a set-up; an answer that nobody waits for is taken back there."""
         call = self._open.get(call_id)
         if call is None or not self._is_out(call, server_id, attempt) or not call.owed:
@@ -327,7 +327,7 @@
 
     # ------------------------------------------------------------------------------------ the call table
 
-    def _is_out(self, call: CallRecord, server_id: str, attempt: int) -> bool:
+    def _is_out(self, call: CallRecord, server_id: str, attempt: int | None) -> bool:
         return call.out is not None and call.out.server_id == server_id and call.out.number == attempt
 
     def _reject(self, call: CallRecord, final: Final, retry_after_ms: float | None) -> None:
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -364,18 +364,16 @@
         if message.method != "INVITE" or message.status < OK:
             return
         call_id, server_id = message.call_id, stream.peer.server_id
-        attempt = stream.open.get(call_id, -1)
-        ours = message.sequence in (0, attempt + 1)  # else it is the end of an earlier attempt
+        # Matched by Call-ID and connection, since a call has one attempt out at most.  Guards against servers
+        # that count each set-up as their first: by the number in CSeq, answers to second attempts were lost.
+        attempt = stream.open.pop(call_id, None)
         stream.write(sip.request("ACK", "call", call_id, max(1, message.sequence)))
-        if ours:
-            stream.open.pop(call_id, None)
-        number = attempt if ours else message.sequence - 1
         if message.status < MULTIPLE_CHOICES:
-            self.exchange.established(server_id, call_id, number, message.body)
-        elif ours:
+            self.exchange.established(server_id, call_id, attempt, message.body)
+        elif attempt is not None:
             outcome = OUTCOMES.get(message.status, api.Outcome.ERROR)
             note = message.headers.get("x-outcome", "")
-            self.exchange.ended(server_id, call_id, number, outcome, processor_full=note == PROCESSOR_FULL)
+            self.exchange.ended(server_id, call_id, attempt, outcome, processor_full=note == PROCESSOR_FULL)
 
 
 def _gauges(message: sip.Message) -> dict[str, float]:
--- a/canvasplank/policy.py
+++ b/canvasplank/policy.py
@@ -63,7 +63,7 @@
 ENOUGH_ANSWERS = 6
 LOOK_BACK_MS = 4000.0
 # A sign of pressure, as a share of the time after which waiting does harm: the first resend or shortest aim.
-PRESSED_SHARE = 0.75
+PRESSED_SHARE = 0.5
 SILENT_DELAYS = 4.0  # silence: that time over, and this many of the server's usual answer delays
 DELAY_WEIGHT = 0.25  # of the newest answer in the usual delay
 TRIAL_MS = 1000.0  # between two trials of a silent server, doubling up to TRIAL_MOST_MS
