--- a/canvasplank/exchange.py
+++ b/canvasplank/exchange.py
@@ -238,9 +238,10 @@
         """What became of a probe."""
         self._tell(api.ProbeAnswered(server_id, answered, report))
 
-    def process_over(self, server_id: str, started_before_ms: float) -> None:
+    def process_over(self, server_id: str, started_before_ms: float, *, tell_server: bool = False) -> None:
         """A server's process has ended without releasing its calls: release those that it held.
 
+        With ``tell_server`` it may not have ended, and is told as well.
         Only what stood before ``started_before_ms`` is over; a fresh process may hold calls already.
         """
         over = [c for c in self._standing.values()
@@ -248,6 +249,8 @@
         for call in over:
             self.counters.add("sent.ends_for_servers")
             self.callers.release(call.origin, call.id, CUT_CAUSE)
+            if tell_server:
+                self.servers.release(server_id, call.id, CUT_CAUSE)
             self._end_standing(call, api.Outcome.RESET)
 
     # ------------------------------------------------------------------------------------ from the board
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -20,6 +20,7 @@
 LOG = logging.getLogger(__name__)
 BACKOFF_MS, BACKOFF_MOST_MS = 50.0, 800.0
 QUIET_MS = 2500.0  # a server tells its lines every second; one that says nothing for so long may be cut off
+UNREACHABLE_MS = 7000.0  # no word and no connection for so long: a call that is over is released within 8 s
 LOOK_MS = 250.0  # between two looks at quiet connections
 OWED_MOST = 10_000  # releases kept for a server that cannot be reached
 UNHEARD_MOST = 1000  # releases sent on one connection and not confirmed
@@ -44,6 +45,7 @@
     started_ms: float | None
     backoff: Backoff
     current: ServerStream | None = None  # where the next message goes; it may still be connecting
+    heard_ms: float = 0.0  # when it last said anything, or a connection came up
     tells: bool = False  # it has told the state of its lines
     streams: list[ServerStream] = field(default_factory=list)  # all that are up
     owed: dict[str, int] = field(default_factory=dict)  # causes of releases for the next connection
@@ -66,11 +68,12 @@
 
     def connected(self) -> None:
         """Send what has waited."""
-        self.made_ms = self.turns.now_ms
+        self.made_ms = self.peer.heard_ms = self.turns.now_ms
         self.servers.joined(self)
 
     def received(self, data: memoryview) -> None:
         """Read what it says."""
+        self.peer.heard_ms = self.turns.now_ms
         for message in self._parser.feed(data):
             self.servers.take(self, message)
 
@@ -114,6 +117,7 @@
         if peer is None:
             backoff = Backoff(self.turns, BACKOFF_MS, BACKOFF_MOST_MS)
             peer = Peer(server.id, entry.host_port, server.state, server.started_ms, backoff)
+            peer.heard_ms = self.turns.now_ms
             self._peers[server.id] = peer
         else:
             if entry.host_port != peer.address:
@@ -312,9 +316,20 @@
                 self._owe_again(current)
             if self._listed(peer):
                 self._connect(peer)
+            up = peer.current is not None and peer.current.is_open
+            if not up and now_ms - peer.heard_ms > UNREACHABLE_MS:
+                self._unreachable(peer)
             self._retire(peer)
         self.turns.after(LOOK_MS, self._look)
 
+    def _unreachable(self, peer: Peer) -> None:
+        """Neither a word nor a connection for long: found on a day with a cut-off district.
+
+        Calls over a cut link end some seconds into it, and the server can tell nobody before the cut is over.
+        A call that should still stand after all is ended there too, once a connection is up.
+        """
+        self.exchange.process_over(peer.server_id, float("inf"), tell_server=True)
+
     def _expected(self, stream: ServerStream) -> bool:
         """Whether something should have come: a server goes on telling its lines, and answers set-ups.
 
