SIGHUP reads the configuration again and follows the notice board to its new address

Cause: no handler for SIGHUP, so its default ended the program (Program.run set SIGTERM, SIGINT and SIGUSR1 only). Now: the file is read and checked again; a board elsewhere is asked at once from the last event known; what can't be used is one log line and the old configuration stays. Before the program is ready, SIGHUP is ignored. Also guarded: a connection that came up in the turn of its time-out no longer counts as failed.

--- a/canvasplank/__main__.py
+++ b/canvasplank/__main__.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 
 from canvasplank import interface as api
 from canvasplank.counters import Counters
@@ -40,8 +41,9 @@
 class Program:
     """One signalling proxy."""
 
-    def __init__(self, configuration: Configuration) -> None:
+    def __init__(self, configuration: Configuration, read_again: Callable[[], Configuration]) -> None:
         self._configuration = configuration
+        self._read_again = read_again
         settings = read_settings(configuration.settings)
         ceilings = read_ceilings(configuration.settings)
         self.counters = Counters()
@@ -64,6 +66,7 @@
         loop.add_signal_handler(signal.SIGTERM, self._terminate)
         loop.add_signal_handler(signal.SIGINT, self._terminate)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._turns.begin()
         self._servers.listed(True, _known_instances(self._configuration.known.notices))
         self._board.start()
@@ -80,6 +83,24 @@
         if notice.pool is not None:
             self._servers.listed(notice.pool.reset, notice.pool.instances)
 
+    def _reload(self) -> None:
+        """Read the configuration again and follow the board where it now is; the rest needs a restart.
+
+        Guards against ending on SIGHUP, and against a file that cannot be used: then the old one stays.
+        """
+        self._turns.begin()
+        try:
+            fresh = self._read_again()
+            read_settings(fresh.settings)
+            read_ceilings(fresh.settings)
+        except (ConfigurationError, api.SettingsError) as fault:
+            LOG.warning("not reloaded, the old configuration stays: %s", one_line(fault))
+            return
+        LOG.info("configuration read again")
+        self._configuration = fresh
+        self._callers.limit(fresh.limits.sockets)
+        self._board.move(fresh.board)
+
     def _terminate(self) -> None:
         """Serve on for a moment, then close the listener, answer all that is open, and leave."""
         if self._exchange.closing:
@@ -120,19 +141,29 @@
 def main() -> int:
     """Run by the environment's configuration; a fault in it is one line on standard error."""
     logging.basicConfig(format="%(asctime)s %(message)s", level=logging.INFO, stream=sys.stderr)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     try:
-        configuration = load_configuration(os.environ.get("EDGE_CONFIG", ""))
-        configuration.listen = os.environ.get("EDGE_LISTEN", configuration.listen)
-        configuration.name = os.environ.get("EDGE_NAME", configuration.name)
-        asyncio.run(_serve(configuration))
+        asyncio.run(_serve(_configuration()))
     except (ConfigurationError, api.SettingsError, OSError, ValueError) as fault:
-        print(f"canvasplank: {' '.join(str(fault).split())}", file=sys.stderr)
+        print(f"canvasplank: {one_line(fault)}", file=sys.stderr)
         return 2
     return 0
 
 
+def _configuration() -> Configuration:
+    configuration = load_configuration(os.environ.get("EDGE_CONFIG", ""))
+    configuration.listen = os.environ.get("EDGE_LISTEN", configuration.listen)
+    configuration.name = os.environ.get("EDGE_NAME", configuration.name)
+    return configuration
+
+
+def one_line(fault: Exception) -> str:
+    """What is wrong, as one line for the log."""
+    return " ".join(str(fault).split())
+
+
 async def _serve(configuration: Configuration) -> None:
-    program = Program(configuration)
+    program = Program(configuration, _configuration)
     gc.freeze()  # what is made at the start stays: collections need not look at it
     with contextlib.suppress(asyncio.CancelledError):
         await program.run()
--- a/canvasplank/network/board.py
+++ b/canvasplank/network/board.py
@@ -54,6 +54,7 @@
         self.last_id = last_id
         self._told = told
         self._stream: BoardStream | None = None
+        self._connecting: Connecting | None = None
         self._backoff = Backoff(turns, BACKOFF_MS, BACKOFF_MOST_MS)
 
     def start(self) -> None:
@@ -61,9 +62,28 @@
         self._connect()
         self._look()
 
+    def move(self, address: str) -> None:
+        """The board is elsewhere now: ask there at once, from the last event known.
+
+        Guards against waiting for the old address to close, or to be found silent: it tells nothing more.
+        """
+        if address == self.address:
+            return
+        LOG.info("notice board: now at %s", address)
+        self.address = address
+        stream, self._stream = self._stream, None
+        if self._connecting is not None:
+            self._connecting.cancel()
+        if stream is not None and stream.is_open:
+            stream.transport.abort()
+        self._backoff.succeeded()
+        self._connect()
+
     def _connect(self) -> None:
+        if self._stream is not None:  # a wait from before the board moved
+            return
         stream = self._stream = BoardStream(self)
-        Connecting(stream, self.address, CONNECT_MS, lambda why: self._failed(stream, why))
+        self._connecting = Connecting(stream, self.address, CONNECT_MS, lambda why: self._failed(stream, why))
 
     def _failed(self, stream: BoardStream, why: str) -> None:
         if self._backoff.failures == 0:
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -77,7 +77,7 @@
         self.streams: dict[CallerStream, None] = {}  # in the order of their coming
         self.accepting = True
         self._owed: dict[str, int] = {}  # releases that wait for a connection, with their causes
-        self._most = max(1, int(sockets * SHARE_OF_SOCKETS))
+        self.limit(sockets)
         self._idle_ms = idle_ms
         self._server: asyncio.Server | None = None
 
@@ -87,6 +87,10 @@
         self._server = await loop.create_server(lambda: CallerStream(self), host, port, backlog=BACKLOG)
         self._look_for_idle()
 
+    def limit(self, sockets: int) -> None:
+        """Hold no more connections than the configuration has room for."""
+        self._most = max(1, int(sockets * SHARE_OF_SOCKETS))
+
     def stop_listening(self) -> None:
         """Take no further connections."""
         if self._server is not None:
--- a/canvasplank/network/connecting.py
+++ b/canvasplank/network/connecting.py
@@ -34,7 +34,8 @@
         self._give_up(f"not up within {self._timeout_ms:.0f} ms")
 
     def _give_up(self, why: str) -> None:
-        if self._task is not None:
+        # A connection that came up at the last moment, before this task was told, has not failed.
+        if self._task is not None and self._stream.transport is None:
             self.cancel()
             self._failed(why)
 
--- a/tests/player.py
+++ b/tests/player.py
@@ -13,7 +13,9 @@
     caller 1 closes          likewise for servers and the board
     server a accepts         takes its next connection
     board accepts / sends / gets
+    board moves              its address is another from now on, and the configuration file says so
     program signalled NAME / exits STATUS / prints REGEX
+    program configured TEXT  the configuration file is replaced by this
 """
 
 from __future__ import annotations
@@ -168,8 +170,8 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 64}, "board": self.parties["board"].address,
             "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"reset": True, "instances": self.known}}]},
         } | changes
-        path = self.folder / "config.json"
-        path.write_text(json.dumps(configuration))
+        self.configuration, path = configuration, self.folder / "config.json"
+        self.configure(json.dumps(configuration))
         environment = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")}
         with self.log.open("wb") as log:
             self.process = subprocess.Popen(
@@ -178,6 +180,14 @@
                 preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)),
             )
 
+    def configure(self, text: str) -> None:
+        (self.folder / "config.json").write_text(text)
+
+    def move_board(self) -> None:
+        self.parties["old board"] = self.parties["board"]
+        self.parties["board"] = Party(listens=True)
+        self.configure(json.dumps(self.configuration | {"board": self.parties["board"].address}))
+
     def stop(self) -> None:
         if self.process is not None:
             self.process.kill()
@@ -218,10 +228,16 @@
                 pool = {"reset": False, "instances": [self.entry(name, state, started_ms, cell)]}
                 data = json.dumps({"rev": int(number), "pool": pool})
                 self.parties["board"].stream.sendall(f"id: {number}\ndata: {data}\n\n".encode())
+            case ["board", "moves"]:
+                self.move_board()
+            case ["old", "board", verb, *rest]:
+                getattr(self.parties["old board"], verb)(*rest)
             case ["board", verb, *rest]:
                 getattr(self.parties["board"], verb)(" ".join(rest))
             case ["program", "signalled", name]:
                 self.process.send_signal(signal.Signals[name])
+            case ["program", "configured", *rest]:
+                self.configure(" ".join(rest))
             case ["program", "exits", status]:
                 assert self.process.wait(WAIT_S) == int(status), self.log.read_text()
             case ["program", "prints", *rest]:
