Refuse or end at the edge what no server can use; an open call's id is nobody else's

Exchange.offer handed the call to whoever came last, so the first caller lost its answer too. Ruled out: figures out of range as a cause of 'served' (servers answer them 'error', at the price of their work). At fault: Exchange.offer; Callers._call (float() takes nan, inf, negatives); Callers._make_room; no limit on silence. Now: unreadable set-ups end their connection, unknown class, pool or width fails with cause 100 before the module, silence and half messages end after 2 s, and as many idle connections are closed as the limit asks for. Also: one receive buffer for all connections instead of 16 KiB each.

--- a/canvasplank/__main__.py
+++ b/canvasplank/__main__.py
@@ -26,6 +26,7 @@
     Notice,
     load_configuration,
     read_ceilings,
+    read_figures,
     read_settings,
     split_address,
 )
@@ -50,7 +51,8 @@
         self._turns = Turns(Deadlines())
         controller = Controller(settings, int(configuration.seed, 16))
         self._exchange = Exchange(self._turns, controller.handle, self.counters, ceilings.max_open)
-        self._callers = Callers(self._exchange, configuration.limits.sockets, ceilings.conn_idle_ms)
+        figures = read_figures(settings, configuration.settings)
+        self._callers = Callers(self._exchange, figures, configuration.limits.sockets, ceilings.conn_idle_ms)
         self._exchange.callers = self._callers
         self._servers = Servers(self._exchange, ceilings)
         self._exchange.servers = self._servers
--- a/canvasplank/codecs/isup.py
+++ b/canvasplank/codecs/isup.py
@@ -43,6 +43,7 @@
     """The causes of a release that this program gives or tells apart."""
 
     NORMAL = 16
+    INVALID_INFORMATION = 100
     TEMPORARY_FAILURE = 41
     CONGESTION = 42
 
@@ -82,6 +83,11 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
+    @property
+    def in_message(self) -> bool:
+        """Whether a message has begun and is not whole."""
+        return bool(self._buffer)
+
     def feed(self, data: bytes | memoryview) -> Iterator[Message]:
         """Messages completed by these bytes."""
         self._buffer += data
--- a/canvasplank/exchange.py
+++ b/canvasplank/exchange.py
@@ -32,6 +32,7 @@
 
     REFUSED = "refused"
     FAILED = "failed"
+    INVALID = "invalid"  # the set-up asks for what the settings do not know
 
 
 class CallerSide(Protocol):
@@ -46,6 +47,9 @@
     def release(self, origin: Hashable | None, call_id: str, cause: int) -> None:
         """Tell that a standing call is over, on any connection."""
 
+    def taken_over(self, origin: Hashable, call_id: str) -> None:
+        """The call has come again from elsewhere and is answered there."""
+
 
 class ServerSide(Protocol):
     """What the exchange asks of the call servers' component."""
@@ -90,6 +94,11 @@
     owed: bool = True
     stands_at: str | None = None  # the server, once the call stands
     stands_since_ms: float = 0.0
+
+    def is_again(self, other: CallRecord) -> bool:
+        """Whether the other is the same set-up, sent once more."""
+        return ((self.class_name, self.number, self.first_choice, self.description)
+                == (other.class_name, other.number, other.first_choice, other.description))
     deadline: Deadline | None = field(default=None, repr=False)
 
 
@@ -124,24 +133,29 @@
 
     # ------------------------------------------------------------------------------------ from the callers
 
-    def offer(self, call: CallRecord) -> None:
-        """A caller's set-up."""
+    def offer(self, call: CallRecord) -> bool:
+        """A caller's set-up; False: its id belongs to another call, and this one is not taken."""
         self.counters.add("taken.set_ups")
         known = self._open.get(call.id) or self._standing.get(call.id)
         if known is not None:
-            # Guards against answering twice: a set-up resent on a new connection is the same call.
-            LOG.info("call %s comes again", call.id)
-            known.origin = call.origin
-            return
+            # A set-up resent on a new connection is the same call, with one answer.  Guards against handing a
+            # call to whoever repeats its id alone: the first caller would lose its answer, the other get it.
+            if not known.owed or not known.is_again(call):  # one that stands is not owed an answer
+                return False
+            if known.origin != call.origin:
+                self.callers.taken_over(known.origin, call.id)
+                known.origin = call.origin
+            return True
         if len(self._open) >= self._most_open or self._held_bytes > DESCRIPTIONS_MOST:
             self.counters.add("answered.over_capacity")
             self.callers.reject(call.origin, call.id, Final.REFUSED, None)
-            return
+            return True
         self._open[call.id] = call
         self._held_bytes += len(call.description)
         call.deadline = self.turns.deadlines.add(call.gives_up_ms, lambda: self._overdue(call))
         self._tell(api.Call(call.id, call.class_name, call.gives_up_ms, call.first_choice,
                             number=call.number, was_cut=call.was_cut))
+        return True
 
     def give_up(self, call_id: str, cause: int) -> None:
         """A release from a caller: of a set-up that it gives up, or of a call that stands."""
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -4,19 +4,33 @@
 
 import asyncio
 import logging
+import re
 from collections.abc import Hashable
 
 from canvasplank.codecs import isup
 from canvasplank.codecs.errors import BadMessageError
 from canvasplank.exchange import CallRecord, Exchange, Final
 from canvasplank.network.stream import Stream
+from canvasplank.settings import Figures
 
 LOG = logging.getLogger(__name__)
-CAUSES = {Final.REFUSED: isup.Cause.CONGESTION, Final.FAILED: isup.Cause.TEMPORARY_FAILURE}
+CAUSES = {
+    Final.REFUSED: isup.Cause.CONGESTION,
+    Final.FAILED: isup.Cause.TEMPORARY_FAILURE,
+    Final.INVALID: isup.Cause.INVALID_INFORMATION,
+}
+NO_CALL = "0" * 16
+NUMBER = re.compile(r"[A-Za-z0-9*#+._-]{1,64}")  # what a server can read in the first line
+FIGURES = ("dest", "width", "via", "again")
+FIGURE = re.compile(r"-?[0-9]{1,9}")
+WAIT_MOST_MS = 3_600_000.0  # no caller waits for an hour; a longer figure is no server's to read
+DESCRIPTION_MOST = 15 * 1024  # with the server side's headers it still is one message
+YOUNG_MS = 500.0  # a connection that has asked nothing may yet be about to
+SILENT_MS = 2000.0  # a connection that says nothing whole for so long after its start, or a message begun
 BACKLOG = 512
 OWED_MOST = 20_000  # releases kept while no caller is connected
 SHARE_OF_SOCKETS = 0.6  # the most that callers may hold, so that servers, board and files find room
-IDLE_LOOK_MS = 1000.0
+IDLE_LOOK_MS = 250.0
 OWED_MS = 500.0  # a release waits so long for a connection of callers' own, then any will do
 UNHEARD_MS = 1000.0  # a release this old has been read, whether or not the caller says so
 UNHEARD_MOST = 1000
@@ -31,6 +45,8 @@
         self._parser = isup.Parser()
         self.open: set[str] = set()  # set-ups that came here and lack their answer
         self.half_closed = False
+        self.asked = False  # whether it has brought a whole message
+        self.begun_ms = self.turns.now_ms  # when the message began that is not whole, or the connection
         self.calls = False  # whether it has carried calls, and not only tests
         self.unheard: dict[str, tuple[int, float]] = {}  # releases not confirmed: cause, time
 
@@ -42,8 +58,19 @@
 
     def received(self, data: memoryview) -> None:
         """Read what it says."""
+        was_in_message = self._parser.in_message
         for message in self._parser.feed(data):
+            self.asked = True
+            was_in_message = False
             self._callers.take(self, message)
+        if self.asked and not was_in_message:
+            self.begun_ms = self.turns.now_ms
+
+    @property
+    def owes_message(self) -> bool:
+        """Whether it should have said something whole by now, a first message or the rest of one."""
+        late = self.turns.now_ms - self.begun_ms > SILENT_MS
+        return late and not self.open and (not self.asked or self._parser.in_message)
 
     def eof_received(self) -> bool:
         """The caller sends no more; what it is owed can still be written."""
@@ -72,8 +99,9 @@
 class Callers:
     """All connections from callers."""
 
-    def __init__(self, exchange: Exchange, sockets: int, idle_ms: float) -> None:
+    def __init__(self, exchange: Exchange, figures: Figures, sockets: int, idle_ms: float) -> None:
         self.exchange = exchange
+        self._figures = figures
         self.streams: dict[CallerStream, None] = {}  # in the order of their coming
         self.accepting = True
         self._owed: dict[str, int] = {}  # releases that wait for a connection, with their causes
@@ -121,6 +149,10 @@
             self._owed[call_id] = cause
             self.exchange.turns.after(OWED_MS, lambda: self._pay(self._any(calls=False)))
 
+    def taken_over(self, origin: Hashable, call_id: str) -> None:
+        """See ``CallerSide``."""
+        origin.open.discard(call_id)
+
     def _any(self, *, calls: bool) -> CallerStream | None:
         """The newest connection, the least likely to be closed now; with ``calls``, one that carries them.
 
@@ -144,8 +176,7 @@
         """A caller has connected."""
         self.exchange.counters.add("sockets.callers")
         self.streams[stream] = None
-        if len(self.streams) > self._most:
-            self._make_room()
+        self._make_room()
         if self._owed:
             self.exchange.turns.after(OWED_MS, lambda: self._pay(self._any(calls=False)))
 
@@ -161,15 +192,13 @@
                 self.release(None, call_id, cause)
 
     def take(self, stream: CallerStream, message: isup.Message) -> None:
-        """One message from a caller; types that mean nothing here are passed over."""
+        """One message from a caller; what is no caller's to send ends the connection."""
         if message.kind != isup.Kind.TEST and not stream.calls:
             stream.calls = True
             self._pay(stream)
         match message.kind:
             case isup.Kind.SET_UP:
-                call = self._call(stream, message)
-                stream.open.add(call.id)
-                self.exchange.offer(call)
+                self._set_up(stream, message)
             case isup.Kind.RELEASE:
                 stream.open.discard(message.call_id)
                 self.exchange.give_up(message.call_id, message.cause)
@@ -178,36 +207,101 @@
                 stream.unheard.pop(message.call_id, None)
             case isup.Kind.TEST:
                 stream.write(isup.test_result(message.call_id, not self.exchange.closing))
+            case isup.Kind.PROGRESS:
+                pass  # free, means nothing
+            case _:
+                raise BadMessageError(f"a message of type {message.kind} is no caller's")
+
+    def _set_up(self, stream: CallerStream, message: isup.Message) -> None:
+        call = self._call(stream, message)
+        new = call.id not in stream.open
+        if new and (call.class_name not in self._figures.classes or not self._possible(message)):
+            # Guards the servers' work, and other callers' set-ups, against what no server can use.
+            self.exchange.counters.add("answered.invalid")
+            self.reject(stream, call.id, Final.INVALID, None)
+            return
+        stream.open.add(call.id)
+        if not self.exchange.offer(call):
+            if new:
+                stream.open.discard(call.id)
+            raise BadMessageError(f"set-up {call.id}: the id is another call's")
+
+    def _possible(self, message: isup.Message) -> bool:
+        """Whether the figures are within what the settings know."""
+        figures = _figures(message)
+        pool, width = figures.get("dest", -1), figures.get("width", 1)
+        pools, most = self._figures.pools, self._figures.most_width
+        return ((pool == -1 or pools is None or pool in pools)
+                and width >= 1 and (most is None or width <= most))
 
     def _call(self, stream: CallerStream, message: isup.Message) -> CallRecord:
-        parts = message.text(isup.Parameter.FIGURES).split(";")
-        figures = dict(part.split(":", 1) for part in parts if ":" in part)
-        turns = self.exchange.turns
+        """The call that a set-up asks for; one that no server could read is a bad message.
+
+        Guards against figures that are no figures (a wait of 'nan' would spoil the order of the deadlines),
+        and against a server ending a connection, with other callers' calls, over what it cannot read.
+        """
+        figures = _figures(message)
+        wait_text = message.text(isup.Parameter.WAIT)
         try:
-            wait_ms = float(message.text(isup.Parameter.WAIT))
-            first_choice = int(figures.get("dest", "-1"))
+            wait_ms = float(wait_text)
         except ValueError as fault:
             raise BadMessageError(f"set-up {message.call_id}: {fault}") from None
+        if not 0 < wait_ms <= WAIT_MOST_MS:  # a 'nan' is not, either
+            raise BadMessageError(f"set-up {message.call_id}: a wait of {wait_text[:20]!r}")
+        number = message.text(isup.Parameter.NUMBER)
+        if message.call_id == NO_CALL or not NUMBER.fullmatch(number):
+            raise BadMessageError(f"set-up {message.call_id}: no id, or a number of {number[:20]!r}")
+        description = message.parameters.get(isup.Parameter.DESCRIPTION, b"")
+        if not 0 < len(description) <= DESCRIPTION_MOST:
+            raise BadMessageError(f"set-up {message.call_id}: a description of {len(description)} bytes")
+        turns = self.exchange.turns
         return CallRecord(
             id=message.call_id,
             class_name=message.text(isup.Parameter.CLASS),
-            number=message.text(isup.Parameter.NUMBER),
-            first_choice=first_choice,
-            was_cut=figures.get("again") == "1",
+            number=number,
+            first_choice=figures.get("dest", -1),
+            was_cut=figures.get("again") == 1,
             # The wait counts from when the caller sent it: earlier than now by as much as we looked late.
             gives_up_ms=turns.now_ms - turns.lateness_ms + wait_ms,
-            description=message.parameters.get(isup.Parameter.DESCRIPTION, b""),
+            description=description,
             origin=stream,
         )
 
     def _make_room(self) -> None:
-        """Guards against callers taking every descriptor: the longest unused with nothing open goes."""
-        idle = [s for s in self.streams if not s.open and s.is_open]
-        if idle:
-            min(idle, key=lambda s: s.used_ms).close()
+        """Guards against callers taking every descriptor: those without an open set-up go, first whoever has
+        not asked anything yet, then the longest unused; where all are busy, the newest goes.
+        """
+        held = [s for s in self.streams if s.is_open]
+        over = len(held) - self._most
+        if over <= 0:
+            return
+        newest = held.pop()
+        young_ms = self.exchange.turns.now_ms - YOUNG_MS
+        idle = [s for s in held if not s.open]
+        idle.sort(key=lambda s: (s.asked or s.used_ms > young_ms, s.used_ms))
+        for stream in (idle or [newest])[:over]:
+            self.exchange.counters.add("sockets.callers_closed_for_room")
+            stream.close()
 
     def _look_for_idle(self) -> None:
+        """Guards against connections kept for nothing: long unused, or silent where a message is due."""
         now_ms = self.exchange.turns.now_ms
-        for stream in [s for s in self.streams if not s.open and now_ms - s.used_ms > self._idle_ms]:
-            stream.close()
+        for stream in [s for s in self.streams if s.is_open]:
+            if stream.owes_message:
+                LOG.warning("%s: closed, nothing whole for %.0f ms", stream.label, SILENT_MS)
+                stream.transport.abort()
+            elif not stream.open and now_ms - stream.used_ms > self._idle_ms:
+                stream.close()
         self.exchange.turns.after(IDLE_LOOK_MS, self._look_for_idle)
+
+
+def _figures(message: isup.Message) -> dict[str, int]:
+    """The figures of a set-up that are read here; each is a whole number."""
+    figures: dict[str, int] = {}
+    for part in message.text(isup.Parameter.FIGURES).rstrip(";").split(";"):
+        name, colon, value = part.partition(":")
+        if not colon or (name in FIGURES and not FIGURE.fullmatch(value)):
+            raise BadMessageError(f"set-up {message.call_id}: the figure {part[:40]!r} cannot be read")
+        if name in FIGURES:
+            figures[name] = int(value)
+    return figures
--- a/canvasplank/network/stream.py
+++ b/canvasplank/network/stream.py
@@ -10,19 +10,23 @@
 
 LOG = logging.getLogger(__name__)
 UNSENT_MOST = 1024 * 1024  # bytes that a peer may leave unread before its connection is ended
+LINGER_MS = 2000.0  # a peer may take so long to read the rest once its connection is to end
 UNSENT_PAUSE = 64 * 1024  # bytes left unread from which on nothing more is taken from the peer
 
 
 class Stream(asyncio.BufferedProtocol):
     """One connection; subclasses read with ``received`` and hear of the end in ``ended``."""
 
+    # What was read lies here until buffer_updated, which follows get_buffer at once, hands it to a parser.
+    # One for all: guards against 16 KiB for each of hundreds of idle connections.
+    _buffer = bytearray(MESSAGE_MOST)
+
     def __init__(self, turns: Turns, label: str) -> None:
         self.turns = turns
         self.label = label
         self.transport: asyncio.Transport | None = None
         self.heard_ms = turns.now_ms
         self.used_ms = turns.now_ms
-        self._buffer = bytearray(MESSAGE_MOST)
 
     @property
     def is_open(self) -> bool:
@@ -55,8 +59,10 @@
         return self.transport.get_write_buffer_size() if self.transport is not None else 0
 
     def close(self) -> None:
-        """End it once all is written."""
-        if self.transport is not None:
+        """End it once all is written, or soon: guards against a peer that never reads the rest."""
+        if self.is_open:
+            if self.unsent:
+                self.turns.after(LINGER_MS, self.transport.abort)
             self.transport.close()
 
     # asyncio's names from here on
--- a/canvasplank/settings.py
+++ b/canvasplank/settings.py
@@ -89,6 +89,14 @@
     max_open: int
 
 
+class Figures(msgspec.Struct, frozen=True):
+    """What a set-up may ask for, by the settings: classes, pools and circuits.  None: they do not say."""
+
+    classes: frozenset[str]
+    pools: frozenset[int] | None
+    most_width: int | None
+
+
 NOTICE = msgspec.json.Decoder(Notice)
 
 _STATES = {
@@ -119,6 +127,17 @@
         raise ConfigurationError(f"settings: ceilings: {fault}") from None
 
 
+def read_figures(settings: api.Settings, options: dict[str, Any]) -> Figures:
+    """The bounds that the network side holds a caller's set-up to."""
+    pools = [c.pools for c in settings.classes]
+    widths = options["family_info"].get("widths")
+    return Figures(
+        classes=frozenset(c.name for c in settings.classes),
+        pools=None if None in pools else frozenset(number for each in pools for number in each),
+        most_width=max(widths) if widths else None,
+    )
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Host and port of ``host:port``."""
     host, _, port = address.rpartition(":")
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -47,11 +47,37 @@
     crowd = [player.caller(str(number)) for number in range(40)]
     for party in crowd:
         party.closes()
+    play_call(player)
+
+
+def play_call(player):
+    """One call, without the start of its record."""
     for line in (RECORDS[0].parent / "call.txt").read_text().splitlines():
         if line.startswith(("caller", "server a sends", "server a gets")):
             player.step(line)
 
 
+def test_hundreds_that_connect_leave_room_for_a_caller(player):
+    """Past the callers' share of the descriptors idle connections go, as many as it takes."""
+    player.add("a", "ready")
+    player.start(limits={"sockets": 10})
+    player.step("server a accepts")
+    crowd = [player.caller(f"crowd {number}") for number in range(30)]
+    play_call(player)
+    open_now = [party for party in crowd if not is_ended(party)]
+    assert len(open_now) < 6
+
+
+def is_ended(party):
+    party.stream.settimeout(0.05)
+    try:
+        return party.stream.recv(1) == b""
+    except ConnectionResetError:
+        return True
+    except TimeoutError:
+        return False
+
+
 def test_a_peer_that_does_not_read_is_paused_and_costs_no_memory(player):
     """Tests without end from a caller that reads no answer: it is read no further, others are served."""
     player.start()
