End a server's connection at the first bad byte, release there what may stand

At fault: sip.Parser (looked at a head only once whole; int() of the first 9 digits of a length), Servers.left. Now: the first bytes of a message are checked as they come, what follows a body before the body is used; the rest of a message is waited for 1 s; set-ups open on such a connection are released there before anything else goes out.

--- a/canvasplank/codecs/sip.py
+++ b/canvasplank/codecs/sip.py
@@ -11,6 +11,10 @@
 _HEAD_END = b"\r\n\r\n"
 _START_LINE_PARTS = 3
 _REASON_CAUSE = re.compile(r"Q\.850\s*;.*?cause\s*=\s*(\d{1,3})", re.IGNORECASE)
+_STATUS_BEGIN = b"SIP/2.0 "
+_REQUEST_BEGIN = re.compile(rb"[A-Z]{1,16}( .*)?", re.DOTALL)
+_CONTROL = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
+_LENGTH = re.compile(r"[0-9]{1,10}")
 _CSEQ = re.compile(r"(\d{1,10})\s+([A-Z]+)")
 
 
@@ -49,6 +53,11 @@
         self._head: tuple[str, int, dict[str, str]] | None = None
         self._wanted = 0  # bytes of the body
 
+    @property
+    def in_message(self) -> bool:
+        """Whether a message has begun and is not whole."""
+        return bool(self._buffer) or self._head is not None
+
     def feed(self, data: bytes | memoryview) -> Iterator[Message]:
         """Messages completed by these bytes."""
         self._buffer += data
@@ -59,13 +68,14 @@
             del self._buffer[: self._wanted]
             method, status, headers = self._head
             self._head = None
+            self._check_begun()  # a length that does not fit shows in what follows
             yield Message(method, status, headers, body)
 
     def _read_head(self) -> bool:
-        while self._buffer.startswith(b"\r\n"):  # RFC 3261 7.5: empty lines between messages mean nothing
-            del self._buffer[:2]
+        self._skip_blank_lines()
         end = self._buffer.find(_HEAD_END)
         if end < 0:
+            self._check_begun()
             if len(self._buffer) > MESSAGE_MOST:
                 raise BadMessageError(f"no end of the headers within {MESSAGE_MOST} bytes")
             return False
@@ -73,6 +83,8 @@
             lines = self._buffer[:end].decode().split("\r\n")
         except UnicodeDecodeError:
             raise BadMessageError("headers are not UTF-8") from None
+        if _CONTROL.search(self._buffer, 0, end):
+            raise BadMessageError("headers hold control characters")
         del self._buffer[: end + len(_HEAD_END)]
         headers = _headers(lines[1:])
         self._wanted = _length(headers)
@@ -81,6 +93,20 @@
         self._head = (*_start(lines[0], headers), headers)
         return True
 
+    def _skip_blank_lines(self) -> None:
+        """RFC 3261 7.5: empty lines between messages mean nothing."""
+        while self._buffer.startswith(b"\r\n"):
+            del self._buffer[:2]
+
+    def _check_begun(self) -> None:
+        """Guards against waiting for the end of what is no message: its first bytes tell."""
+        self._skip_blank_lines()
+        if self._buffer == b"\r":
+            return
+        begun = bytes(self._buffer[: len(_STATUS_BEGIN)])
+        if begun and not _STATUS_BEGIN.startswith(begun) and not _REQUEST_BEGIN.fullmatch(begun):
+            raise BadMessageError(f"no message begins with {begun!r}")
+
 
 def _headers(lines: list[str]) -> dict[str, str]:
     headers: dict[str, str] = {}
@@ -88,7 +114,9 @@
         name, colon, value = line.partition(":")
         if not colon or not name.strip():
             raise BadMessageError(f"not a header: {line[:80]!r}")
-        headers.setdefault(name.strip().lower(), value.strip())
+        name, value = name.strip().lower(), value.strip()
+        if headers.setdefault(name, value) != value and name == "content-length":
+            raise BadMessageError("Content-Length is given twice")
     return headers
 
 
@@ -96,9 +124,9 @@
     text = headers.get("content-length")
     if text is None:
         raise BadMessageError("Content-Length is missing")
-    if not (text.isascii() and text.isdigit()):
+    if not _LENGTH.fullmatch(text):
         raise BadMessageError(f"Content-Length {text[:20]!r} is not a number")
-    return int(text[:9])
+    return int(text)
 
 
 def _start(line: str, headers: dict[str, str]) -> tuple[str, int]:
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -46,7 +46,7 @@
         self.open: set[str] = set()  # set-ups that came here and lack their answer
         self.half_closed = False
         self.asked = False  # whether it has brought a whole message
-        self.begun_ms = self.turns.now_ms  # when the message began that is not whole, or the connection
+        self.made_ms = self.turns.now_ms
         self.calls = False  # whether it has carried calls, and not only tests
         self.unheard: dict[str, tuple[int, float]] = {}  # releases not confirmed: cause, time
 
@@ -58,18 +58,15 @@
 
     def received(self, data: memoryview) -> None:
         """Read what it says."""
-        was_in_message = self._parser.in_message
-        for message in self._parser.feed(data):
+        for message in self.messages(self._parser, data):
             self.asked = True
-            was_in_message = False
             self._callers.take(self, message)
-        if self.asked and not was_in_message:
-            self.begun_ms = self.turns.now_ms
 
     @property
     def owes_message(self) -> bool:
         """Whether it should have said something whole by now, a first message or the rest of one."""
-        late = self.turns.now_ms - self.begun_ms > SILENT_MS
+        since_ms = self.begun_ms if self.asked else self.made_ms
+        late = self.turns.now_ms - since_ms > SILENT_MS
         return late and not self.open and (not self.asked or self._parser.in_message)
 
     def eof_received(self) -> bool:
@@ -288,8 +285,7 @@
         now_ms = self.exchange.turns.now_ms
         for stream in [s for s in self.streams if s.is_open]:
             if stream.owes_message:
-                LOG.warning("%s: closed, nothing whole for %.0f ms", stream.label, SILENT_MS)
-                stream.transport.abort()
+                stream.end_spoilt(f"nothing whole for {SILENT_MS:.0f} ms")
             elif not stream.open and now_ms - stream.used_ms > self._idle_ms:
                 stream.close()
         self.exchange.turns.after(IDLE_LOOK_MS, self._look_for_idle)
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -12,7 +12,8 @@
 
 from canvasplank import interface as api
 from canvasplank.codecs import sip
-from canvasplank.exchange import CallRecord, Exchange
+from canvasplank.codecs.errors import BadMessageError
+from canvasplank.exchange import TAKEN_BACK_CAUSE, CallRecord, Exchange
 from canvasplank.network.connecting import Backoff, Connecting
 from canvasplank.network.stream import Stream
 from canvasplank.settings import REPORT_FIELDS, Ceilings, Instance, server_of
@@ -21,8 +22,10 @@
 BACKOFF_MS, BACKOFF_MOST_MS = 50.0, 800.0
 QUIET_MS = 2500.0  # a server tells its lines every second; one that says nothing for so long may be cut off
 UNREACHABLE_MS = 7000.0  # no word and no connection for so long: a call that is over is released within 8 s
+CUT_SHORT_MS = 1000.0  # a message that is not whole so long after it began never will be
 LOOK_MS = 250.0  # between two looks at quiet connections
 OWED_MOST = 10_000  # releases kept for a server that cannot be reached
+UNHEARD_MS = 4000.0  # a release this old has been read, whether or not the server says so
 UNHEARD_MOST = 1000  # releases sent on one connection and not confirmed
 OUTCOMES = {
     480: api.Outcome.NOT_SENT,
@@ -31,6 +34,7 @@
 }
 OK, MULTIPLE_CHOICES = 200, 300
 NORMAL_CLEARING = 16
+BEGIN_OF_NEXT = b"SIP/2.0"  # no description holds it
 PROCESSOR_FULL = "cpu_full"
 GAUGE = re.compile(r"([A-Za-z_]\w*)\s*[=:]\s*(-?\d+(?:\.\d+)?)")
 
@@ -61,7 +65,7 @@
         self.address = peer.address
         self.open: dict[str, int] = {}  # set-ups sent here and not ended, with the numbers of their attempts
         self.waiting: dict[str, tuple[int, bytes]] = {}  # set-ups for when it is up
-        self.unheard: dict[str, int] = {}  # releases sent here and not confirmed, with their causes
+        self.unheard: dict[str, tuple[int, float]] = {}  # releases sent here and not confirmed: cause, time
         self.connecting: Connecting | None = None
         self.made_ms = self.turns.now_ms
         self._parser = sip.Parser()
@@ -74,9 +78,20 @@
     def received(self, data: memoryview) -> None:
         """Read what it says."""
         self.peer.heard_ms = self.turns.now_ms
-        for message in self._parser.feed(data):
+        for message in self.messages(self._parser, data):
             self.servers.take(self, message)
 
+    @property
+    def is_cut_short(self) -> bool:
+        """Whether the rest of a message is overdue: all that follows would be taken for it."""
+        late = self.turns.now_ms - self.begun_ms > CUT_SHORT_MS
+        return self.is_open and late and self._parser.in_message
+
+    @property
+    def broke_off(self) -> bool:
+        """Whether it ended amid what could not be read: an answer may have been lost with it."""
+        return self.spoilt or self._parser.in_message
+
     def ended(self, error: Exception | None) -> None:
         """Its set-ups broke on their way."""
         self.servers.left(self)
@@ -189,11 +204,17 @@
         self._connect(peer)
         stream = peer.current
         if stream.is_open:
-            stream.open[call.id] = attempt
-            stream.write(data)
+            self._invite(stream, call.id, attempt, data)
         else:
             stream.waiting[call.id] = attempt, data
 
+    def _invite(self, stream: ServerStream, call_id: str, attempt: int, data: bytes) -> None:
+        for each in stream.peer.streams:
+            # Guards against ending the call by the release of an earlier attempt here, sent once more.
+            each.unheard.pop(call_id, None)
+        stream.open[call_id] = attempt
+        stream.write(data)
+
     def cancel(self, server_id: str, call_id: str) -> None:
         """See ``ServerSide``: on the connection of the set-up, or not at all where it was never sent."""
         peer = self._peers.get(server_id)
@@ -211,8 +232,8 @@
         for peer in self._peers.values() if server_id is None else filter(None, [self._peers.get(server_id)]):
             if peer.current is not None and peer.current.is_open:
                 self._bye(peer.current, call_id, cause)
-            elif len(peer.owed) < OWED_MOST:
-                peer.owed[call_id] = cause
+            else:
+                self._owe(peer, call_id, cause)
 
     def probe(self, server_id: str) -> None:
         """See ``ServerSide``."""
@@ -233,7 +254,7 @@
 
     def _bye(self, stream: ServerStream, call_id: str, cause: int) -> None:
         self.exchange.counters.add("sent.releases_to_servers")
-        stream.unheard[call_id] = cause
+        stream.unheard[call_id] = cause, self.turns.now_ms
         if len(stream.unheard) > UNHEARD_MOST:
             del stream.unheard[next(iter(stream.unheard))]
         stream.write(sip.request("BYE", "call", call_id, 1, {"Reason": f"Q.850;cause={cause}"}))
@@ -257,13 +278,13 @@
         peer.backoff.succeeded()
         peer.streams.append(stream)
         self.exchange.counters.add("sockets.servers")
-        for call_id, (attempt, data) in stream.waiting.items():
-            stream.open[call_id] = attempt
-            stream.write(data)
-        stream.waiting.clear()
+        # Releases first: guards against one that is owed for an earlier attempt ending the call's next.
         owed, peer.owed = peer.owed, {}
         for call_id, cause in owed.items():
             self._bye(stream, call_id, cause)
+        for call_id, (attempt, data) in stream.waiting.items():
+            self._invite(stream, call_id, attempt, data)
+        stream.waiting.clear()
         self._retire(peer)
 
     def _failed(self, stream: ServerStream, why: str) -> None:
@@ -292,6 +313,9 @@
         self._owe_again(stream)
         broken, stream.open = stream.open, {}
         for call_id, attempt in broken.items():
+            if stream.broke_off:
+                # Guards against a call that stands there for nobody: its answer came, and could not be read.
+                self._owe(peer, call_id, TAKEN_BACK_CAUSE)
             self.exchange.ended(peer.server_id, call_id, attempt, api.Outcome.RESET)
         self._keep_up(peer)
 
@@ -310,6 +334,8 @@
         """
         now_ms = self.turns.now_ms
         for peer in list(self._peers.values()):
+            for stream in [s for s in peer.streams if s.is_cut_short]:
+                stream.end_spoilt(f"the rest of a message did not come within {CUT_SHORT_MS:.0f} ms")
             current = peer.current
             if current is not None and self._expected(current) and now_ms - current.heard_ms > QUIET_MS:
                 peer.current = None
@@ -340,9 +366,14 @@
     def _owe_again(self, stream: ServerStream) -> None:
         """Guards against releases lost on a connection that has died: they go out on the next one."""
         owed, stream.unheard = stream.unheard, {}
-        for call_id, cause in owed.items():
-            if len(stream.peer.owed) < OWED_MOST:
-                stream.peer.owed[call_id] = cause
+        for call_id, (cause, sent_ms) in owed.items():
+            if sent_ms > self.turns.now_ms - UNHEARD_MS:
+                self._owe(stream.peer, call_id, cause)
+
+    def _owe(self, peer: Peer, call_id: str, cause: int) -> None:
+        """Have a release go out on the next connection."""
+        if len(peer.owed) < OWED_MOST:
+            peer.owed[call_id] = cause
 
     def _retire(self, peer: Peer) -> None:
         """Close connections that another has taken the place of, once nothing is open on them."""
@@ -355,6 +386,9 @@
 
     def take(self, stream: ServerStream, message: sip.Message) -> None:
         """One message from a server."""
+        if BEGIN_OF_NEXT in message.body:
+            # Guards against passing on an answer that stops short, filled up with what came after it.
+            raise BadMessageError(f"the message before {BEGIN_OF_NEXT.decode()} stops short")
         if message.status:
             self._response(stream, message)
             return
--- a/canvasplank/network/stream.py
+++ b/canvasplank/network/stream.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import logging
+from collections.abc import Iterator
+from typing import Protocol, TypeVar
 
 from canvasplank.codecs.errors import MESSAGE_MOST, BadMessageError
 from canvasplank.deadlines import Turns
@@ -13,6 +15,19 @@
 LINGER_MS = 2000.0  # a peer may take so long to read the rest once its connection is to end
 UNSENT_PAUSE = 64 * 1024  # bytes left unread from which on nothing more is taken from the peer
 
+Message = TypeVar("Message", covariant=True)
+
+
+class Parser(Protocol[Message]):
+    """A codec's reader of messages."""
+
+    @property
+    def in_message(self) -> bool:
+        """Whether a message has begun and is not whole."""
+
+    def feed(self, data: memoryview) -> Iterator[Message]:
+        """Messages completed by these bytes."""
+
 
 class Stream(asyncio.BufferedProtocol):
     """One connection; subclasses read with ``received`` and hear of the end in ``ended``."""
@@ -27,6 +42,8 @@
         self.transport: asyncio.Transport | None = None
         self.heard_ms = turns.now_ms
         self.used_ms = turns.now_ms
+        self.begun_ms = turns.now_ms  # when the message began that is not whole, if there is one
+        self.spoilt = False  # whether it was ended for a bad message
 
     @property
     def is_open(self) -> bool:
@@ -43,6 +60,15 @@
     def ended(self, error: Exception | None) -> None:
         """The connection is over."""
 
+    def messages(self, parser: Parser[Message], data: memoryview) -> Iterator[Message]:
+        """What these bytes complete, minding since when a further message is due."""
+        was_in_message = parser.in_message
+        for message in parser.feed(data):
+            was_in_message = False
+            yield message
+        if not was_in_message:
+            self.begun_ms = self.turns.now_ms
+
     def write(self, data: bytes) -> None:
         """Send; a peer that never reads loses its connection and not our memory."""
         if not self.is_open:
@@ -87,8 +113,13 @@
             self.received(memoryview(self._buffer)[:nbytes])
         except BadMessageError as fault:
             # Guards against a bad message ending the program: it ends its own connection, with one line.
-            LOG.warning("%s: closed, %s", self.label, fault)
-            self.transport.abort()
+            self.end_spoilt(str(fault))
+
+    def end_spoilt(self, why: str) -> None:
+        """What the peer says can be of no further use."""
+        LOG.warning("%s: closed, %s", self.label, why)
+        self.spoilt = True
+        self.transport.abort()
 
     def pause_writing(self) -> None:
         """The peer does not read: take nothing more from it meanwhile."""
