Enter new servers before the module sends to them, and give them their pool's lines

Cause one: Servers.listed told the module first; it sent what it held at once, and set_up knew no such server yet. Now: ready servers are entered and connected to before the module hears of them (Servers._admit), and a server has the lines last told in its pool until it tells its own (Controller._on_list, _lines, at most 256 pools).

--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -112,35 +112,51 @@
     # -------------------------------------------------------------------------------- for the board
 
     def listed(self, complete: bool, instances: list[Instance]) -> None:
-        """News of the list: tell the module first, so that what follows here meets its new view."""
+        """News of the list.
+
+        Servers that are ready are entered before the module is told, since it may send to them at once;
+        guards against a new server passing for unreachable on the very news of it.  The rest follows after,
+        so that it meets the module's new view.
+        """
         entries = {instance.instance_id: instance for instance in instances}
         kind = api.ListKind.COMPLETE if complete else api.ListKind.CHANGES
         missing = [p for p in self._peers.values() if complete and p.server_id not in entries]
+        for entry in entries.values():
+            self._admit(entry)
         self.exchange.listed(kind, tuple(server_of(entry) for entry in entries.values()))
         for peer in missing:
             self._gone(peer)
         for entry in entries.values():
             self._entry(entry)
 
-    def _entry(self, entry: Instance) -> None:
+    def _admit(self, entry: Instance) -> None:
         server = server_of(entry)
         peer = self._peers.get(server.id)
         if server.state is api.ServerState.GONE:
-            if peer is not None:
-                self._gone(peer)
             return
         if peer is None:
             backoff = Backoff(self.turns, BACKOFF_MS, BACKOFF_MOST_MS)
             peer = Peer(server.id, entry.host_port, server.state, server.started_ms, backoff)
             peer.heard_ms = self.turns.now_ms
             self._peers[server.id] = peer
-        else:
-            if entry.host_port != peer.address:
-                peer.address = entry.host_port
-                self._leave(peer)
-            if server.started_ms != peer.started_ms:
-                peer.started_ms = server.started_ms
-                self._restarted(peer)
+        elif entry.host_port != peer.address:
+            peer.address = entry.host_port
+            self._leave(peer)
+        if server.state is api.ServerState.READY:
+            peer.state = server.state
+        self._connect(peer)
+
+    def _entry(self, entry: Instance) -> None:
+        server = server_of(entry)
+        peer = self._peers.get(server.id)
+        if peer is None:
+            return
+        if server.state is api.ServerState.GONE:
+            self._gone(peer)
+            return
+        if server.started_ms != peer.started_ms:
+            peer.started_ms = server.started_ms
+            self._restarted(peer)
         peer.state = server.state
         if server.state is api.ServerState.DRAINING:
             self._recall(peer)
--- a/canvasplank/policy.py
+++ b/canvasplank/policy.py
@@ -75,6 +75,7 @@
 STALL_TICKS = 4  # a timer so late tells that this gateway stood still
 NEVER = float("inf")
 HELD_MOST = 400  # calls held; past it the least worth is refused
+POOLS_MOST = 256  # whose lines are remembered
 REDIALS_MOST = 4000  # unserved calls remembered for their redials
 LOG_EVERY_MS = 5000.0  # between two lines about the pressure on one server
 
@@ -202,6 +203,7 @@
         self._now = 0.0
         self._classes = {c.name: c for c in settings.classes}
         self._servers: dict[str, ServerView] = {}
+        self._lines: dict[int, float] = {}  # what was told last, by pool
         self._calls: dict[str, CallState] = {}  # those that still lack their final answer
         self._held: dict[str, CallState] = {}  # those of them that have no attempt out
         self._standing: dict[str, CallState] = {}  # those that stand, until they end
@@ -257,8 +259,11 @@
             case ProbeAnswered():
                 self._on_probe(event)
             case LinesTold():
-                if event.server_id in self._servers and 0 < event.lines < NEVER:
-                    self._servers[event.server_id].lines = event.lines
+                view = self._servers.get(event.server_id)
+                if view is not None and 0 < event.lines < NEVER:
+                    view.lines = self._lines[view.pool] = event.lines
+                    if len(self._lines) > POOLS_MOST:
+                        del self._lines[next(iter(self._lines))]
         return self._actions
 
     def _due(self, at_ms: float) -> None:
@@ -279,6 +284,9 @@
                 continue
             if view is None:
                 view = ServerView(entry, self._now, self._random.uniform(-0.5, 0.5))
+                # Exception (successors): until it tells its lines, it has those last told in its pool.
+                # Guards against all calls that are held leaving at once into an open bucket.
+                view.lines = self._lines.get(entry.pool)
                 self._servers[entry.id] = view
                 self._start_cold(view, entry.started_ms, self._settings.rules.warm_within_ms)
             elif entry.started_ms != view.started_ms:
--- a/tests/player.py
+++ b/tests/player.py
@@ -13,6 +13,8 @@
     caller 1 closes          likewise for servers and the board
     server a accepts         takes its next connection
     board accepts / sends / gets
+    board tells N a STATE STARTED   event N: server a is ready, draining or gone, and when it started
+    board adds N b           event N: server b is new, and listens
     board moves              its address is another from now on, and the configuration file says so
     program signalled NAME / exits STATUS / prints REGEX
     program configured TEXT  the configuration file is replaced by this
@@ -188,6 +190,10 @@
         self.parties["board"] = Party(listens=True)
         self.configure(json.dumps(self.configuration | {"board": self.parties["board"].address}))
 
+    def tell(self, number: str, entry: dict) -> None:
+        data = json.dumps({"rev": int(number), "pool": {"reset": False, "instances": [entry]}})
+        self.parties["board"].stream.sendall(f"id: {number}\ndata: {data}\n\n".encode())
+
     def stop(self) -> None:
         if self.process is not None:
             self.process.kill()
@@ -225,13 +231,14 @@
                 name, state, started = what.split(" ")
                 started_ms = int(time.time() * 1000) if started == "now" else int(started)
                 cell = next(e["cell"] for e in self.known if e["instanceId"] == f"s-{name}")
-                pool = {"reset": False, "instances": [self.entry(name, state, started_ms, cell)]}
-                data = json.dumps({"rev": int(number), "pool": pool})
-                self.parties["board"].stream.sendall(f"id: {number}\ndata: {data}\n\n".encode())
+                self.tell(number, self.entry(name, state, started_ms, cell))
             case ["board", "moves"]:
                 self.move_board()
             case ["old", "board", verb, *rest]:
                 getattr(self.parties["old board"], verb)(*rest)
+            case ["board", "adds", number, name]:
+                self.add(name, "ready")
+                self.tell(number, self.known[-1])
             case ["board", verb, *rest]:
                 getattr(self.parties["board"], verb)(" ".join(rest))
             case ["program", "signalled", name]:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 
 import pytest
-from conftest import HIGH, LOW, RULES, SETTINGS, Gateway, ready, sent_to, settings
+from conftest import HIGH, LOW, RULES, SETTINGS, Gateway, gone, ready, sent_to, settings
 
 from canvasplank import interface as api
 from canvasplank import policy
@@ -324,3 +324,28 @@
         gateway.call(first=1)
         gateway.until(gateway.now + 100)
         assert [a.call_id for _, a in gateway.done if isinstance(a, api.Fail)] == [call_id]
+
+
+class TestASuccessor:
+    """A server that takes the place of one that is gone, met with calls held for it."""
+
+    def test_has_the_lines_of_its_pool_until_it_tells_its_own(self):
+        g = Gateway(large(instances=3))
+        g.servers(ready("a", 0))
+        g.tell(lines("a", 176))
+        g.servers(gone("a", 0), kind=api.ListKind.CHANGES)
+        for _ in range(30):
+            g.call()
+        g.until(g.now + 1000)
+        mark = len(g.done)
+        g.servers(ready("b", 0), kind=api.ListKind.CHANGES)
+        g.until(g.now + 50)
+        assert 1 <= len(sent_to([action for _, action in g.done[mark:]])) <= 4
+
+    def test_remembered_lines_are_bounded(self):
+        g = Gateway(large(instances=3))
+        for pool in range(policy.POOLS_MOST + 5):
+            g.servers(ready("a", pool))
+            g.tell(lines("a", 10))
+            g.servers(gone("a", pool))
+        assert len(g.controller._lines) == policy.POOLS_MOST
