Leave a connection that hangs for another, and end a cut-short one, before its server passes for silent

At fault: Servers._look (QUIET_MS only), CUT_SHORT_MS, TRIAL_MS in the module, sip.Parser.feed. Now: a connection without a word for the time of a first resend after a set-up is left for another; the rest of a message may take a quarter of that; trials of silent servers are counted in the same time (unchanged where it is 500 ms); a message without a body counts whatever follows it. Unconfirmed releases older than the last word by 1 s are taken as read.

--- a/canvasplank/__main__.py
+++ b/canvasplank/__main__.py
@@ -54,7 +54,7 @@
         figures = read_figures(settings, configuration.settings)
         self._callers = Callers(self._exchange, figures, configuration.limits.sockets, ceilings.conn_idle_ms)
         self._exchange.callers = self._callers
-        self._servers = Servers(self._exchange, ceilings)
+        self._servers = Servers(self._exchange, ceilings, settings.resend_ms)
         self._exchange.servers = self._servers
         self._board = Board(self._turns, configuration.board, configuration.known.rev, self._notice)
         longest_ms = min(LONGEST_MS, max(c.deadline_ms for c in settings.classes))
--- a/canvasplank/codecs/sip.py
+++ b/canvasplank/codecs/sip.py
@@ -68,7 +68,8 @@
             del self._buffer[: self._wanted]
             method, status, headers = self._head
             self._head = None
-            self._check_begun()  # a length that does not fit shows in what follows
+            if body:  # a length that does not fit shows in what follows; no body, nothing spoilt
+                self._check_begun()
             yield Message(method, status, headers, body)
 
     def _read_head(self) -> bool:
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -22,10 +22,12 @@
 BACKOFF_MS, BACKOFF_MOST_MS = 50.0, 800.0
 QUIET_MS = 2500.0  # a server tells its lines every second; one that says nothing for so long may be cut off
 UNREACHABLE_MS = 7000.0  # no word and no connection for so long: a call that is over is released within 8 s
-CUT_SHORT_MS = 1000.0  # a message that is not whole so long after it began never will be
-LOOK_MS = 250.0  # between two looks at quiet connections
+FIRST_RESEND_MS = 500.0  # where the settings name none
+CUT_SHORT_SHARE = 0.25  # of it: a message that is not whole so long after it began never will be
+LOOK_SHARE = 0.2  # of it: between two looks at the connections
+GONE_LOOK_MS = 250.0  # between two looks at a server that is gone and still speaks
 OWED_MOST = 10_000  # releases kept for a server that cannot be reached
-UNHEARD_MS = 4000.0  # a release this old has been read, whether or not the server says so
+UNHEARD_MS = 1000.0  # a release so much older than the last word of the server has been read by it
 UNHEARD_MOST = 1000  # releases sent on one connection and not confirmed
 OUTCOMES = {
     480: api.Outcome.NOT_SENT,
@@ -68,6 +70,7 @@
         self.unheard: dict[str, tuple[int, float]] = {}  # releases sent here and not confirmed: cause, time
         self.connecting: Connecting | None = None
         self.made_ms = self.turns.now_ms
+        self.asked_ms = -1.0  # when the first set-up was sent here of those after the last word
         self._parser = sip.Parser()
 
     def connected(self) -> None:
@@ -81,12 +84,15 @@
         for message in self.messages(self._parser, data):
             self.servers.take(self, message)
 
-    @property
-    def is_cut_short(self) -> bool:
+    def is_cut_short(self, limit_ms: float) -> bool:
         """Whether the rest of a message is overdue: all that follows would be taken for it."""
-        late = self.turns.now_ms - self.begun_ms > CUT_SHORT_MS
+        late = self.turns.now_ms - self.begun_ms > limit_ms
         return self.is_open and late and self._parser.in_message
 
+    def is_hung(self, limit_ms: float) -> bool:
+        """Whether it has brought not a word since a set-up went out on it."""
+        return self.asked_ms > self.heard_ms and self.turns.now_ms - self.asked_ms > limit_ms
+
     @property
     def broke_off(self) -> bool:
         """Whether it ended amid what could not be read: an answer may have been lost with it."""
@@ -100,14 +106,15 @@
 class Servers:
     """All connections to call servers."""
 
-    def __init__(self, exchange: Exchange, ceilings: Ceilings) -> None:
+    def __init__(self, exchange: Exchange, ceilings: Ceilings, resend_ms: float | None) -> None:
         self.exchange = exchange
         self.turns = exchange.turns
         self._ceilings = ceilings
         self._peers: dict[str, Peer] = {}
         self._probes: dict[str, str] = {}
         self._probe_count = 0
-        self.turns.after(LOOK_MS, self._look)
+        self._resend_ms = resend_ms or FIRST_RESEND_MS
+        self.turns.after(LOOK_SHARE * self._resend_ms, self._look)
 
     # -------------------------------------------------------------------------------- for the board
 
@@ -185,7 +192,7 @@
         peer.state = api.ServerState.GONE
         self._recall(peer)
         if any(s.is_open and self.turns.now_ms - s.heard_ms < QUIET_MS for s in peer.streams):
-            self.turns.after(LOOK_MS, lambda: self._still_gone(peer))
+            self.turns.after(GONE_LOOK_MS, lambda: self._still_gone(peer))
             return
         self._peers.pop(peer.server_id, None)
         if peer.current is not None and peer.current.connecting is not None:
@@ -228,6 +235,8 @@
         for each in stream.peer.streams:
             # Guards against ending the call by the release of an earlier attempt here, sent once more.
             each.unheard.pop(call_id, None)
+        if stream.asked_ms <= stream.heard_ms:
+            stream.asked_ms = self.turns.now_ms
         stream.open[call_id] = attempt
         stream.write(data)
 
@@ -349,11 +358,18 @@
         It stays open for what may yet come on it; a connection that speaks again is as good as a new one.
         """
         now_ms = self.turns.now_ms
+        cut_short_ms = CUT_SHORT_SHARE * self._resend_ms
         for peer in list(self._peers.values()):
-            for stream in [s for s in peer.streams if s.is_cut_short]:
-                stream.end_spoilt(f"the rest of a message did not come within {CUT_SHORT_MS:.0f} ms")
+            for stream in [s for s in peer.streams if s.is_cut_short(cut_short_ms)]:
+                stream.end_spoilt(f"the rest of a message did not come within {cut_short_ms:.0f} ms")
             current = peer.current
-            if current is not None and self._expected(current) and now_ms - current.heard_ms > QUIET_MS:
+            # One that hangs says nothing of its server.  Guards against trying a server that is well on the
+            # connection that hung, over and over, and leaving it out for seconds.
+            if current is not None and current.is_open and (
+                current.is_hung(self._resend_ms)
+                or (self._expected(current) and now_ms - current.heard_ms > QUIET_MS)
+            ):
+                self.exchange.counters.add("sockets.servers_quiet")
                 peer.current = None
                 self._owe_again(current)
             if self._listed(peer):
@@ -362,7 +378,7 @@
             if not up and now_ms - peer.heard_ms > UNREACHABLE_MS:
                 self._unreachable(peer)
             self._retire(peer)
-        self.turns.after(LOOK_MS, self._look)
+        self.turns.after(LOOK_SHARE * self._resend_ms, self._look)
 
     def _unreachable(self, peer: Peer) -> None:
         """Neither a word nor a connection for long: found on a day with a cut-off district.
@@ -383,7 +399,7 @@
         """Guards against releases lost on a connection that has died: they go out on the next one."""
         owed, stream.unheard = stream.unheard, {}
         for call_id, (cause, sent_ms) in owed.items():
-            if sent_ms > self.turns.now_ms - UNHEARD_MS:
+            if sent_ms > stream.heard_ms - UNHEARD_MS:
                 self._owe(stream.peer, call_id, cause)
 
     def _owe(self, peer: Peer, call_id: str, cause: int) -> None:
--- a/canvasplank/policy.py
+++ b/canvasplank/policy.py
@@ -66,8 +66,8 @@
 PRESSED_SHARE = 0.5
 SILENT_DELAYS = 4.0  # silence: that time over, and this many of the server's usual answer delays
 DELAY_WEIGHT = 0.25  # of the newest answer in the usual delay
-TRIAL_MS = 1000.0  # between two trials of a silent server, doubling up to TRIAL_MOST_MS
-TRIAL_MOST_MS = 4000.0
+# Between two trials of a silent server, doubling, in times of that after which waiting does harm.
+TRIAL_TIMES, TRIAL_TIMES_MOST = 2.0, 8.0
 CONFIRM_MS = 5000.0  # the list is seconds late: so long may a return from silence be a fresh start
 COLD_SAFETY = 0.3  # of the budget of a cold server: lines are a rough measure of what it can do
 MARGIN_MS = 25.0  # a final answer leaves this and MARGIN_TICKS before the caller's time is up
@@ -139,7 +139,7 @@
         self.silent = False
         self.silent_ms = now_ms  # since when
         self.trial_ms = now_ms
-        self.trial_gap_ms = TRIAL_MS
+        self.trial_times = TRIAL_TIMES
         self.logged_ms = -NEVER
 
     def waiting_since(self) -> float:
@@ -398,7 +398,7 @@
         view.heard_ms = self._now
         if view.silent:
             view.silent = False
-            view.trial_gap_ms = TRIAL_MS
+            view.trial_times = TRIAL_TIMES
             if sent_ms >= view.silent_ms + SECOND_MS:
                 self._start_cold(view, self._now, CONFIRM_MS)
             self._actions.append(Log(f"server {view.server_id}: answers again"))
@@ -414,7 +414,8 @@
     def _trial_wait(self, view: ServerView) -> float:
         """All gateways together try a silent server about as often as a few would, and not in step."""
         part = self._part(view)
-        return view.trial_gap_ms * (1.0 if part == 1.0 else self._random.uniform(0.5, 1.5) / part)
+        gap_ms = view.trial_times * self._silent_ms
+        return gap_ms * (1.0 if part == 1.0 else self._random.uniform(0.5, 1.5) / part)
 
     def _fair(self, view: ServerView) -> float | None:
         """This gateway's even share of the calls a second that fill a server's lines."""
@@ -701,7 +702,7 @@
         if now < call.not_before_ms:  # 5: release awaited
             return False
         if view.silent:
-            view.trial_gap_ms = min(TRIAL_MOST_MS, 2 * view.trial_gap_ms)
+            view.trial_times = min(TRIAL_TIMES_MOST, 2 * view.trial_times)
             view.trial_ms = now + self._trial_wait(view)
         self._settle(view)
         view.cold.add()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -349,3 +349,12 @@
             g.tell(lines("a", 10))
             g.servers(gone("a", pool))
         assert len(g.controller._lines) == policy.POOLS_MOST
+
+
+def test_a_silent_server_is_tried_on_the_scale_of_the_first_resend():
+    g = Gateway(settings(resend_ms=125))
+    g.servers(ready("a", 0))
+    g.call(gives_up_ms=g.now + 300)
+    g.until(500)
+    _, actions = g.call()
+    assert sent_to(actions) == ["a"]
