Trials of a silent server no longer cut its rate; releases of spoilt connections go at once

Cause: Controller._watch took the unanswered trial of a silent server for pressure, once a second, with hardly an answer to go by; growth is one call a second each second. Its trials bound what goes to it already. Also: Servers._owe sends at once where another connection is up, and no longer waits for the next to come. The test of the rate fails without the change.

--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -255,10 +255,7 @@
     def release(self, server_id: str | None, call_id: str, cause: int) -> None:
         """See ``ServerSide``: on the connection that is up, or on the next one."""
         for peer in self._peers.values() if server_id is None else filter(None, [self._peers.get(server_id)]):
-            if peer.current is not None and peer.current.is_open:
-                self._bye(peer.current, call_id, cause)
-            else:
-                self._owe(peer, call_id, cause)
+            self._owe(peer, call_id, cause)
 
     def probe(self, server_id: str) -> None:
         """See ``ServerSide``."""
@@ -403,8 +400,10 @@
                 self._owe(stream.peer, call_id, cause)
 
     def _owe(self, peer: Peer, call_id: str, cause: int) -> None:
-        """Have a release go out on the next connection."""
-        if len(peer.owed) < OWED_MOST:
+        """Have a release go out, on the next connection if there is none."""
+        if peer.current is not None and peer.current.is_open:
+            self._bye(peer.current, call_id, cause)
+        elif len(peer.owed) < OWED_MOST:
             peer.owed[call_id] = cause
 
     def _retire(self, peer: Peer) -> None:
--- a/canvasplank/policy.py
+++ b/canvasplank/policy.py
@@ -521,7 +521,8 @@
         waited_ms = self._now - since_ms
         limit_ms = max(self._silent_ms, SILENT_DELAYS * (view.delay_ms or 0.0))
         silent_ms = max(since_ms, view.heard_ms) + limit_ms
-        if waited_ms >= self._overdue(view):
+        # One that is silent is not pressed as well: guards against trials that cut its rate to the floor.
+        if waited_ms >= self._overdue(view) and not view.silent:
             self._cut(view, f"no answer for {waited_ms:.0f} ms")
         if not view.silent and self._now >= silent_ms:
             self._fall_silent(view, f"{len(view.pending)} unanswered, nothing heard for {limit_ms:.0f} ms")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -351,6 +351,20 @@
         assert len(g.controller._lines) == policy.POOLS_MOST
 
 
+def test_trials_do_not_cut_the_rate_of_a_silent_server():
+    g = Gateway()
+    g.servers(ready("a", 0))
+    g.steady("a", 0, 24, gap_ms=100)
+    g.call(gives_up_ms=g.now + 1000)
+    g.until(g.now + 900)
+    rate = g.controller._servers["a"].bucket.rate
+    g.until(g.now + 600)
+    _, actions = g.call()
+    assert sent_to(actions) == ["a"] and rate > 5
+    g.until(g.now + 2500)
+    assert g.controller._servers["a"].bucket.rate >= rate
+
+
 def test_a_silent_server_is_tried_on_the_scale_of_the_first_resend():
     g = Gateway(settings(resend_ms=125))
     g.servers(ready("a", 0))
