--- a/canvasplank/network/board.py
+++ b/canvasplank/network/board.py
@@ -17,8 +17,8 @@
 LOG = logging.getLogger(__name__)
 PATH = "/board/poll"
 CONNECT_MS = 1000.0
-SILENCE_MS = 2500.0  # a comment is due every second
-LOOK_MS = 250.0
+SILENCE_MS = 1500.0  # a comment is due every second; what a silent board holds back is not known here
+LOOK_MS = 100.0
 BACKOFF_MS, BACKOFF_MOST_MS = 50.0, 800.0
 
 
