Bound descriptions by the configured memory; note what remains

Seen in reading: descriptions of calls without an answer might take 24 MiB whatever the configuration says, and a machine of 32 MB, 13 to 18 MB of them the program, would be ended for it. Checked with a probe of the exchange alone: of 2,000 set-ups of 15 KiB it took 1,639. At fault: DESCRIPTIONS_MOST in exchange.py.

Now an eighth of `memory_mb`: 273 of those set-ups at 32 MB, the others are refused, as past `max_open`.

A field of CallRecord that stood behind a method is back among the fields.

--- a/canvasplank/__main__.py
+++ b/canvasplank/__main__.py
@@ -50,7 +50,8 @@
         self.counters = Counters()
         self._turns = Turns(Deadlines())
         controller = Controller(settings, int(configuration.seed, 16))
-        self._exchange = Exchange(self._turns, controller.handle, self.counters, ceilings.max_open)
+        self._exchange = Exchange(self._turns, controller.handle, self.counters, ceilings.max_open,
+                                  configuration.limits.memory_mb * 2**20)
         figures = read_figures(settings, configuration.settings)
         self._callers = Callers(self._exchange, figures, configuration.limits.sockets, ceilings.conn_idle_ms)
         self._exchange.callers = self._callers
--- a/canvasplank/exchange.py
+++ b/canvasplank/exchange.py
@@ -24,7 +24,7 @@
 CUT_CAUSE = 41  # Q.850: temporary failure, the cause of a call that was cut
 TAKEN_BACK_CAUSE = 31  # Q.850: normal, unspecified: nobody waits for this answer any more
 ENDED_MOST = 8192  # ids of calls that are over, remembered so that a release heard twice is passed on once
-DESCRIPTIONS_MOST = 24 * 1024 * 1024  # bytes of descriptions held for calls without an answer
+DESCRIPTIONS_PART = 1 / 8  # of the memory: the most that descriptions of calls without an answer may take
 
 
 class Final(enum.Enum):
@@ -94,19 +94,19 @@
     owed: bool = True
     stands_at: str | None = None  # the server, once the call stands
     stands_since_ms: float = 0.0
+    deadline: Deadline | None = field(default=None, repr=False)
 
     def is_again(self, other: CallRecord) -> bool:
         """Whether the other is the same set-up, sent once more."""
         return ((self.class_name, self.number, self.first_choice, self.description)
                 == (other.class_name, other.number, other.first_choice, other.description))
-    deadline: Deadline | None = field(default=None, repr=False)
 
 
 class Exchange:
     """Callers on one side, call servers on the other, the decisions between them."""
 
     def __init__(self, turns: Turns, controller: Callable[[float, api.Event], list[api.Action]],
-                 counters: Counters, most_open: int) -> None:
+                 counters: Counters, most_open: int, memory_bytes: float) -> None:
         self.turns = turns
         self.counters = counters
         self.callers: CallerSide
@@ -114,6 +114,7 @@
         self.closing = False
         self._decide = controller
         self._most_open = most_open
+        self._most_held_bytes = DESCRIPTIONS_PART * memory_bytes
         self._open: dict[str, CallRecord] = {}  # a final answer is owed, or an attempt is out
         self._standing: dict[str, CallRecord] = {}
         self._ended: OrderedDict[str, None] = OrderedDict()
@@ -146,7 +147,9 @@
                 self.callers.taken_over(known.origin, call.id)
                 known.origin = call.origin
             return True
-        if len(self._open) >= self._most_open or self._held_bytes > DESCRIPTIONS_MOST:
+        held_bytes = self._held_bytes + len(call.description)
+        if len(self._open) >= self._most_open or held_bytes > self._most_held_bytes:
+            # Guards the memory that this machine has by its configuration, be it 32 or 192 MB.
             self.counters.add("answered.over_capacity")
             self.callers.reject(call.origin, call.id, Final.REFUSED, None)
             return True
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,34 @@
+"""The exchange without sockets."""
+
+from __future__ import annotations
+
+from canvasplank.counters import Counters
+from canvasplank.deadlines import Deadlines, Turns
+from canvasplank.exchange import CallRecord, Exchange, Final
+
+KIB = 1024
+
+
+class Rejections:
+    """Callers that note what is turned away."""
+
+    def __init__(self) -> None:
+        self.told: list[tuple[str, Final]] = []
+
+    def reject(self, origin: object, call_id: str, final: Final, retry_after_ms: float | None) -> None:
+        self.told.append((call_id, final))
+
+
+def test_descriptions_take_no_more_than_their_part_of_the_memory():
+    """With 32 MB, the 24 MiB that were allowed whatever the configuration would have ended the program."""
+    turns = Turns(Deadlines(), clock=lambda: 0.0)
+    exchange = Exchange(turns, lambda now_ms, event: [], Counters(), 20_000, 32 * KIB**2)
+    exchange.callers = callers = Rejections()
+    for number in range(2000):
+        exchange.offer(CallRecord(f"{number:016x}", "low", "1", 0, False, 1000.0, bytes(15 * KIB), None))
+    assert exchange.open_calls == 4 * KIB // 15
+    assert len(callers.told) == 2000 - exchange.open_calls
+    assert {final for _, final in callers.told} == {Final.REFUSED}
+    exchange.give_up(f"{0:016x}", 16)
+    exchange.offer(CallRecord("f" * 16, "low", "1", 0, False, 1000.0, bytes(15 * KIB), None))
+    assert exchange.open_calls == 4 * KIB // 15, "what a call held is free again at its end"
