Board: refuse a chunk of negative length, and pass over an event that can't be read

A chunk length of '-5' was taken (int() reads a sign), and the loop that follows waits for less than nothing: the program hung for good, with all its calls. An event whose data cannot be decoded was asked for again every 50 ms for ever, since any byte from the board reset the wait, and no later event was read. Empty data lines were not counted to the limit of an event.

Checked and ruled out: a torn event does not pass for an unreadable one, since the parser is new with each connection; such an event is asked for twice more before it is passed over.

Lines at fault: codecs/sse.py _unchunk and feed, network/board.py spoke and event.

Conclusion: the shortest wait returns only after an event or a connection that lasted; a bad event costs itself.

--- a/canvasplank/codecs/sse.py
+++ b/canvasplank/codecs/sse.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -9,6 +10,7 @@
 
 _EVENT_MOST = 16 * MESSAGE_MOST  # a whole list of servers is one event
 _STATUS_PARTS = 2
+_CHUNK_LENGTH = re.compile(rb"[0-9A-Fa-f]{1,8}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +51,7 @@
             self._text += self._raw
             self._raw.clear()
         yield from self._events()
-        if len(self._text) > _EVENT_MOST or sum(map(len, self._data)) > _EVENT_MOST:
+        if len(self._text) > _EVENT_MOST or sum(map(len, self._data)) + len(self._data) > _EVENT_MOST:
             raise BadMessageError(f"event of over {_EVENT_MOST} bytes")
 
     def _read_head(self) -> bool:
@@ -87,10 +89,9 @@
             del self._raw[: end + 2]
             if not line:  # the line end behind a chunk
                 continue
-            try:
-                self._chunk_left = int(line, 16)
-            except ValueError:
-                raise BadMessageError(f"chunk length {line[:20]!r} is not a number") from None
+            if not _CHUNK_LENGTH.fullmatch(line):  # guards against waiting for ever for less than nothing
+                raise BadMessageError(f"chunk length {line[:20]!r} is not a number")
+            self._chunk_left = int(line, 16)
 
     def _events(self) -> Iterator[Event]:
         while (end := self._text.find(b"\n")) >= 0:
--- a/canvasplank/network/board.py
+++ b/canvasplank/network/board.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import re
 from collections.abc import Callable
 
 import msgspec
@@ -20,6 +21,8 @@
 SILENCE_MS = 1500.0  # a comment is due every second; what a silent board holds back is not known here
 LOOK_MS = 100.0
 BACKOFF_MS, BACKOFF_MOST_MS = 50.0, 800.0
+EVENT_ID = re.compile(r"[0-9]{1,18}")
+READS_MOST = 3  # of one event that cannot be read; it may have come torn
 
 
 class BoardStream(Stream):
@@ -29,9 +32,11 @@
         super().__init__(board.turns, "notice board")
         self._board = board
         self._parser = sse.Parser()
+        self.made_ms = self.turns.now_ms
 
     def connected(self) -> None:
         """Ask for what is new."""
+        self.made_ms = self.turns.now_ms
         self.write(sse.request(PATH, self._board.address, self._board.last_id))
 
     def received(self, data: memoryview) -> None:
@@ -56,6 +61,7 @@
         self._stream: BoardStream | None = None
         self._connecting: Connecting | None = None
         self._backoff = Backoff(turns, BACKOFF_MS, BACKOFF_MOST_MS)
+        self._unread = 0  # times in a row that the next event could not be read
 
     def start(self) -> None:
         """Connect, and keep looking whether it still speaks."""
@@ -97,18 +103,33 @@
             self._backoff.then(self._connect)
 
     def spoke(self, stream: BoardStream) -> None:
-        """It says something: a later break is a fresh one."""
-        self._backoff.succeeded()
+        """It says something, and has for a while: a later break is a fresh one.
+
+        Guards against asking a board that answers with errors over and over at the shortest wait.
+        """
+        if self.turns.now_ms - stream.made_ms > BACKOFF_MOST_MS:
+            self._backoff.succeeded()
 
     def event(self, event: sse.Event) -> None:
         """One event; what was told before a break is not taken twice."""
+        if not EVENT_ID.fullmatch(event.id):
+            raise BadMessageError(f"event {event.id[:20]!r} has no number")
+        number = int(event.id)
+        if number <= self.last_id:
+            return
         try:
-            number = int(event.id)
             notice = NOTICE.decode(event.data)
-        except (ValueError, msgspec.MsgspecError) as fault:
-            raise BadMessageError(f"event {event.id[:20]!r}: {fault}") from None
-        if number > self.last_id:
-            self.last_id = number
+        except (ValueError, RecursionError, msgspec.MsgspecError) as fault:
+            self._unread += 1
+            # Guards against an event that can never be read keeping all later ones from us.
+            if self._unread < READS_MOST:
+                raise BadMessageError(f"event {number}: {fault}") from None
+            LOG.warning("notice board: event %d is passed over, unread: %s", number, fault)
+            notice = None
+        self._unread = 0
+        self._backoff.succeeded()
+        self.last_id = number
+        if notice is not None:
             self._told(notice)
 
     def _look(self) -> None:
