Reload: one line for a file nested too deep, tell what waits for a restart, take new memory limits

Seen: a file nested without end raised RecursionError, at the start with a traceback in place of one line, at SIGHUP with a traceback in the log. A reload said 'read again' though changes to name, listen and settings wait for the next start. Limits of 0 or less and widths that are no numbers were taken; the latter broke every set-up's check.

Checked and ruled out: neither ended the program on SIGHUP; the old configuration stayed in each case.

Lines at fault: settings.py load_configuration, Limits and read_figures, __main__.py _reload.

Before and after: by the new test, a traceback and no word; now one line each. memory_mb is taken on reload like sockets.

--- a/canvasplank/__main__.py
+++ b/canvasplank/__main__.py
@@ -34,6 +34,7 @@
 LOG = logging.getLogger(__name__)
 SERVE_ON_MS = 700.0  # after SIGTERM callers may still come for so long
 LONGEST_MS = 3000.0  # a caller's deadline counts as no longer than this when we are to end
+AT_START = ("name", "listen", "settings")  # what holds from the next start on when it has changed
 LEAVE_EARLY_MS = 300.0  # whatever is open so long before somebody may kill us is failed
 LOOK_MS = 20.0
 FLUSH_MS = 200.0  # for the last bytes to leave
@@ -87,21 +88,27 @@
             self._servers.listed(notice.pool.reset, notice.pool.instances)
 
     def _reload(self) -> None:
-        """Read the configuration again and follow the board where it now is; the rest needs a restart.
+        """Read the configuration again, follow the board where it now is and take new limits.
 
-        Guards against ending on SIGHUP, and against a file that cannot be used: then the old one stays.
+        The rest needs a restart, and what of it has changed is told.  Guards against ending on SIGHUP, and
+        against a file that cannot be used: then the old one stays.
         """
         self._turns.begin()
         try:
             fresh = self._read_again()
-            read_settings(fresh.settings)
             read_ceilings(fresh.settings)
+            read_figures(read_settings(fresh.settings), fresh.settings)
         except (ConfigurationError, api.SettingsError) as fault:
             LOG.warning("not reloaded, the old configuration stays: %s", one_line(fault))
             return
-        LOG.info("configuration read again")
+        waiting = [name for name in AT_START if getattr(fresh, name) != getattr(self._configuration, name)]
+        for_later = f"; for the next start: {', '.join(waiting)}" if waiting else ""
+        LOG.info("configuration read again%s", for_later)
+        for name in waiting:  # guards against telling a change once and then forgetting that it waits
+            setattr(fresh, name, getattr(self._configuration, name))
         self._configuration = fresh
         self._callers.limit(fresh.limits.sockets)
+        self._exchange.limit(fresh.limits.memory_mb * 2**20)
         self._board.move(fresh.board)
 
     def _terminate(self) -> None:
--- a/canvasplank/exchange.py
+++ b/canvasplank/exchange.py
@@ -114,7 +114,7 @@
         self.closing = False
         self._decide = controller
         self._most_open = most_open
-        self._most_held_bytes = DESCRIPTIONS_PART * memory_bytes
+        self.limit(memory_bytes)
         self._open: dict[str, CallRecord] = {}  # a final answer is owed, or an attempt is out
         self._standing: dict[str, CallRecord] = {}
         self._ended: OrderedDict[str, None] = OrderedDict()
@@ -132,6 +132,10 @@
         """Calls that stand."""
         return len(self._standing)
 
+    def limit(self, memory_bytes: float) -> None:
+        """Hold no more than the configuration has room for."""
+        self._most_held_bytes = DESCRIPTIONS_PART * memory_bytes
+
     # ------------------------------------------------------------------------------------ from the callers
 
     def offer(self, call: CallRecord) -> bool:
--- a/canvasplank/settings.py
+++ b/canvasplank/settings.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -33,8 +33,8 @@
 class Limits(msgspec.Struct):
     """What the platform lets this machine have."""
 
-    sockets: int = 1024
-    memory_mb: float = 192
+    sockets: Annotated[int, msgspec.Meta(gt=0)] = 1024
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)] = 192
     cores: float = 1.0
 
 
@@ -114,7 +114,7 @@
         for address in (configuration.listen, configuration.board):
             split_address(address)
         int(configuration.seed, 16)
-    except (OSError, msgspec.MsgspecError, ValueError) as fault:
+    except (OSError, msgspec.MsgspecError, ValueError, RecursionError) as fault:  # the last: too deep
         raise ConfigurationError(f"configuration {path}: {fault}") from None
     return configuration
 
@@ -130,7 +130,10 @@
 def read_figures(settings: api.Settings, options: dict[str, Any]) -> Figures:
     """The bounds that the network side holds a caller's set-up to."""
     pools = [c.pools for c in settings.classes]
-    widths = options["family_info"].get("widths")
+    try:
+        widths = msgspec.convert(options["family_info"].get("widths") or [], list[int])
+    except msgspec.ValidationError as fault:
+        raise ConfigurationError(f"settings: widths: {fault}") from None
     return Figures(
         classes=frozenset(c.name for c in settings.classes),
         pools=None if None in pools else frozenset(number for each in pools for number in each),
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import json
 from pathlib import Path
 
 import pytest
-from player import Player
+from player import SETTINGS, Player
 
 RECORDS = sorted((Path(__file__).parent / "exchanges").glob("*.txt"))
 
@@ -29,6 +30,9 @@
         ({"seed": "not hex"}, "invalid literal"),
         ({"settings": {}}, "setting"),
         ({"settings": []}, "Expected `object`"),
+        ({"settings": SETTINGS | {"family_info": SETTINGS["family_info"] | {"widths": ["a"]}}}, "widths"),
+        ({"limits": {"sockets": 0}}, "Expected `int` >= 1"),
+        ({"limits": {"memory_mb": -1}}, "Expected `float` > 0"),
         ({"listen": "192.0.2.1:1"}, "assign requested address"),
     ],
 )
@@ -39,6 +43,20 @@
     assert says in printed and printed.count("\n") == 1 and "Traceback" not in printed
 
 
+def test_a_reload_that_cannot_be_used_or_waits_for_a_restart_is_told_in_one_line(player):
+    """A file nested without end left a traceback; changes that wait were not told at all."""
+    player.start()
+    player.caller("1")
+    player.configure('{"settings": ' + '{"a": ' * 100_000)
+    player.step("program signalled SIGHUP")
+    player.step("program prints not reloaded, the old configuration stays: .*recursion")
+    changes = {"settings": SETTINGS | {"tick_ms": 2.0}, "name": "n1"}
+    player.configure(json.dumps(player.configuration | changes))
+    player.step("program signalled SIGHUP")
+    player.step("program prints configuration read again; for the next start: name, settings")
+    assert "Traceback" not in player.log.read_text()
+
+
 def test_callers_that_take_every_descriptor_do_not_end_it(player):
     """Accepting fails for a while, and goes on when descriptors are free again."""
     player.add("a", "ready")
