Keep a replaced connection while its calls stand, and read it to its end

Connections to a server under pressure are taken for hung after one first resend without a word (125 ms there) and replaced; all but those to servers that stopped spoke again about 50 ms later. We closed the old connection as soon as no set-up was open on it, with calls standing that had been set up on it, whose releases come on it. No BYE ever came twice in 17,000: a server that has sent one sends it again only on a connection opened later, and the successor is up by then.

Ruled out: callers' connections (each release was confirmed within 10 ms, none was written to one that ended), resets (the reconnection takes 5 to 50 ms and what came before is read out).

By reading, the same on the callers' side: after the end of input on a connection with a set-up open, the socket is read no more, and a release just written there went out again only at its end, too late.

Lines at fault: network/servers.py _retire, network/callers.py eof_received.

--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -72,6 +72,8 @@
     def eof_received(self) -> bool:
         """The caller sends no more; what it is owed can still be written."""
         self.half_closed = True
+        # It may have ended altogether, and nothing more tells so: the socket is not read any more.
+        self._callers.release_again(self)
         return bool(self.open)
 
     def ended(self, error: Exception | None) -> None:
@@ -182,9 +184,13 @@
         self.streams.pop(stream, None)
         for call_id in list(stream.open):
             self.exchange.caller_lost(call_id, stream)
-        # Guards against a release that crosses the caller's close of an idle connection: it goes out again.
+        self.release_again(stream)
+
+    def release_again(self, stream: CallerStream) -> None:
+        """Guards against a release that crosses the caller's end of a connection: it goes out on another."""
+        owed, stream.unheard = stream.unheard, {}
         newest_ms = self.exchange.turns.now_ms - UNHEARD_MS
-        for call_id, (cause, sent_ms) in stream.unheard.items():
+        for call_id, (cause, sent_ms) in owed.items():
             if sent_ms > newest_ms:
                 self.release(None, call_id, cause)
 
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -70,6 +70,8 @@
         self.open: dict[str, int] = {}  # set-ups sent here and not ended, with the numbers of their attempts
         self.waiting: dict[str, tuple[int, bytes]] = {}  # set-ups for when it is up
         self.unheard: dict[str, tuple[int, float]] = {}  # releases sent here and not confirmed: cause, time
+        self.standing: set[str] = set()  # calls set up here that stand: the server releases them here
+        self.replaced_ms = -1.0  # when another took its place
         self.connecting: Connecting | None = None
         self.made_ms = self.turns.now_ms
         self.asked_ms = -1.0  # when the first set-up was sent here of those after the last word
@@ -95,6 +97,15 @@
         """Whether it has brought not a word since a set-up went out on it."""
         return self.asked_ms > self.heard_ms and self.turns.now_ms - self.asked_ms > limit_ms
 
+    def is_left_over(self, limit_ms: float) -> bool:
+        """Whether it has been replaced and nothing more is to come on it.
+
+        Guards against losing the release of a call that stands, on its way while we end the connection: its
+        successor is up already, and the server would not tell it again.
+        """
+        spoke_again = self.heard_ms > self.replaced_ms and self.turns.now_ms - self.used_ms < limit_ms
+        return not self.open and not (self.standing and spoke_again)
+
     @property
     def broke_off(self) -> bool:
         """Whether it ended amid what could not be read: an answer may have been lost with it."""
@@ -257,8 +268,14 @@
     def release(self, server_id: str | None, call_id: str, cause: int) -> None:
         """See ``ServerSide``: on the connection that is up, or on the next one."""
         for peer in self._peers.values() if server_id is None else filter(None, [self._peers.get(server_id)]):
+            self._over(peer, call_id)
             self._owe(peer, call_id, cause)
 
+    def _over(self, peer: Peer, call_id: str) -> None:
+        """A call stands there no more."""
+        for stream in peer.streams:
+            stream.standing.discard(call_id)
+
     def probe(self, server_id: str) -> None:
         """See ``ServerSide``."""
         peer = self._peers.get(server_id)
@@ -369,7 +386,7 @@
                 or (self._expected(current) and now_ms - current.heard_ms > QUIET_MS)
             ):
                 self.exchange.counters.add("sockets.servers_quiet")
-                peer.current = None
+                peer.current, current.replaced_ms = None, now_ms
                 self._owe_again(current)
             if self._listed(peer):
                 self._connect(peer)
@@ -409,11 +426,12 @@
             peer.owed[call_id] = cause
 
     def _retire(self, peer: Peer) -> None:
-        """Close connections that another has taken the place of, once nothing is open on them."""
+        """End connections that another has taken the place of, once they are left over."""
         if peer.current is None or not peer.current.is_open:
             return
-        for stream in [s for s in peer.streams if s is not peer.current and not s.open and s.is_open]:
-            stream.close()
+        for stream in peer.streams:
+            if stream is not peer.current and stream.is_left_over(self._ceilings.conn_idle_ms):
+                stream.finish()
 
     # -------------------------------------------------------------------------------- messages
 
@@ -428,6 +446,7 @@
         match message.method:
             case "BYE":
                 stream.write(sip.response(OK, "OK", message))
+                self._over(stream.peer, message.call_id)
                 # Guards the callers, and what is remembered of calls, against an id that is no call's.
                 if CALL_ID.fullmatch(message.call_id):
                     cause = NORMAL_CLEARING if message.cause is None else message.cause
@@ -453,6 +472,7 @@
         attempt = stream.open.pop(call_id, None)
         stream.write(sip.request("ACK", "call", call_id, max(1, message.sequence)))
         if message.status < MULTIPLE_CHOICES:
+            stream.standing.add(call_id)  # where it is taken back, the release takes it out again
             self.exchange.established(server_id, call_id, attempt, message.body)
         elif attempt is not None:
             outcome = OUTCOMES.get(message.status, api.Outcome.ERROR)
--- a/canvasplank/network/stream.py
+++ b/canvasplank/network/stream.py
@@ -48,11 +48,12 @@
         self.used_ms = turns.now_ms
         self.begun_ms = turns.now_ms  # when the message began that is not whole, if there is one
         self.spoilt = False  # whether it was ended for a bad message
+        self.finishing = False  # whether it is only read any more
 
     @property
     def is_open(self) -> bool:
         """Whether something may still be written."""
-        return self.transport is not None and not self.transport.is_closing()
+        return self.transport is not None and not self.finishing and not self.transport.is_closing()
 
     def connected(self) -> None:
         """The connection is up."""
@@ -95,6 +96,17 @@
                 self.turns.after(LINGER_MS, self.transport.abort)
             self.transport.close()
 
+    def finish(self) -> None:
+        """Say no more, and read on until the peer has ended it too, or for as long as it may linger.
+
+        Guards against losing what crosses our end of it, as the release of a call that stood: a socket that
+        is closed answers that with a reset.
+        """
+        if self.is_open:
+            self.finishing = True
+            self.transport.write_eof()
+            self.turns.after(LINGER_MS, self.transport.abort)
+
     # asyncio's names from here on
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/tests/player.py
+++ b/tests/player.py
@@ -12,6 +12,7 @@
     caller 1 later MS BYTES  the next bytes, no sooner than so long after the last that anybody sent or closed
     caller 1 closes / resets likewise for servers and the board
     server a accepts         takes its next connection
+    server b was a           the connection that server a has is b's from now on, and stays open
     board accepts / sends / gets
     board tells N a STATE STARTED   event N: server a is ready, draining or gone, and when it started
     board adds N b           event N: server b is new, and listens
@@ -230,6 +231,9 @@
                 self.start()
             case ["caller", number, verb, *rest]:
                 getattr(self.caller(number), verb)(*rest)
+            case ["server", other, "was", name]:
+                self.parties[f"server {other}"] = party = Party(listens=False)
+                party.stream = self.parties[f"server {name}"].stream
             case ["server", name, verb, *rest]:
                 getattr(self.parties[f"server {name}"], verb)(*rest)
             case ["board", "tells", number, what]:
