Bound what all connections hold by the configured memory; drop a spoilt connection's bytes at once

Checked and ruled out: 550 callers that read nothing of what they are sent take 2 MB in 25 s, since the machine's own buffers take it first; that was no danger. Ending them alone did not free what they held, as the end of a connection comes after all that one look brought: the bytes go at once now.

Lines at fault: network/stream.py UNSENT_MOST and write, and no bound over all connections.

Conclusion: one bound for callers, servers and the board, an eighth of memory_mb, followed on reload. The test with 1 MB ended nothing before.

--- a/canvasplank/__main__.py
+++ b/canvasplank/__main__.py
@@ -18,6 +18,7 @@
 from canvasplank.network.board import Board
 from canvasplank.network.callers import Callers
 from canvasplank.network.servers import Servers
+from canvasplank.network.stream import Held
 from canvasplank.policy import Controller
 from canvasplank.settings import (
     Configuration,
@@ -34,6 +35,7 @@
 LOG = logging.getLogger(__name__)
 SERVE_ON_MS = 700.0  # after SIGTERM callers may still come for so long
 LONGEST_MS = 3000.0  # a caller's deadline counts as no longer than this when we are to end
+MIB = 2**20
 AT_START = ("name", "listen", "settings")  # what holds from the next start on when it has changed
 LEAVE_EARLY_MS = 300.0  # whatever is open so long before somebody may kill us is failed
 LOOK_MS = 20.0
@@ -51,14 +53,17 @@
         self.counters = Counters()
         self._turns = Turns(Deadlines())
         controller = Controller(settings, int(configuration.seed, 16))
-        self._exchange = Exchange(self._turns, controller.handle, self.counters, ceilings.max_open,
-                                  configuration.limits.memory_mb * 2**20)
+        memory = configuration.limits.memory_mb * MIB
+        self._exchange = Exchange(self._turns, controller.handle, self.counters, ceilings.max_open, memory)
+        self._held = Held(memory)
         figures = read_figures(settings, configuration.settings)
-        self._callers = Callers(self._exchange, figures, configuration.limits.sockets, ceilings.conn_idle_ms)
+        self._callers = Callers(self._exchange, figures, configuration.limits.sockets, ceilings.conn_idle_ms,
+                                self._held)
         self._exchange.callers = self._callers
-        self._servers = Servers(self._exchange, ceilings, settings.resend_ms)
+        self._servers = Servers(self._exchange, ceilings, settings.resend_ms, self._held)
         self._exchange.servers = self._servers
-        self._board = Board(self._turns, configuration.board, configuration.known.rev, self._notice)
+        self._board = Board(self._turns, configuration.board, configuration.known.rev, self._notice,
+                            self._held)
         longest_ms = min(LONGEST_MS, max(c.deadline_ms for c in settings.classes))
         self._leave_ms = longest_ms + SERVE_ON_MS - LEAVE_EARLY_MS
         self._closing_ms = 0.0
@@ -108,7 +113,8 @@
             setattr(fresh, name, getattr(self._configuration, name))
         self._configuration = fresh
         self._callers.limit(fresh.limits.sockets)
-        self._exchange.limit(fresh.limits.memory_mb * 2**20)
+        self._exchange.limit(fresh.limits.memory_mb * MIB)
+        self._held.limit(fresh.limits.memory_mb * MIB)
         self._board.move(fresh.board)
 
     def _terminate(self) -> None:
--- a/canvasplank/codecs/sip.py
+++ b/canvasplank/codecs/sip.py
@@ -72,6 +72,16 @@
         """Whether a message has begun and is not whole."""
         return bool(self._buffer) or self._head is not None
 
+    @property
+    def held(self) -> int:
+        """Bytes of a message that is not whole."""
+        return len(self._buffer)
+
+    def clear(self) -> None:
+        """Forget it."""
+        self._buffer.clear()
+        self._head = None
+
     def feed(self, data: bytes | memoryview) -> Iterator[Message]:
         """Messages completed by these bytes."""
         self._buffer += data
--- a/canvasplank/codecs/sse.py
+++ b/canvasplank/codecs/sse.py
@@ -40,6 +40,22 @@
         self._chunk_left = 0
         self._id, self._data = "", []
 
+    @property
+    def in_message(self) -> bool:
+        """Whether an event has begun and is not whole."""
+        return bool(self.held)
+
+    @property
+    def held(self) -> int:
+        """Bytes of an event that is not whole."""
+        return len(self._raw) + len(self._text) + sum(map(len, self._data))
+
+    def clear(self) -> None:
+        """Forget it."""
+        self._raw.clear()
+        self._text.clear()
+        self._data = []
+
     def feed(self, data: bytes | memoryview) -> Iterator[Event]:
         """Events completed by these bytes; comments are passed over."""
         self._raw += data
--- a/canvasplank/network/board.py
+++ b/canvasplank/network/board.py
@@ -12,7 +12,7 @@
 from canvasplank.codecs.errors import BadMessageError
 from canvasplank.deadlines import Turns
 from canvasplank.network.connecting import Backoff, Connecting
-from canvasplank.network.stream import Stream
+from canvasplank.network.stream import Held, Stream
 from canvasplank.settings import NOTICE, Notice
 
 LOG = logging.getLogger(__name__)
@@ -29,9 +29,8 @@
     """One connection to the notice board."""
 
     def __init__(self, board: Board) -> None:
-        super().__init__(board.turns, "notice board")
+        super().__init__(board.turns, "notice board", sse.Parser(), board.held)
         self._board = board
-        self._parser = sse.Parser()
         self.made_ms = self.turns.now_ms
 
     def connected(self) -> None:
@@ -42,7 +41,7 @@
     def received(self, data: memoryview) -> None:
         """Read events."""
         self._board.spoke(self)
-        for event in self._parser.feed(data):
+        for event in self.messages(data):
             self._board.event(event)
 
     def ended(self, error: Exception | None) -> None:
@@ -53,8 +52,10 @@
 class Board:
     """Follows the notice board from the last event known."""
 
-    def __init__(self, turns: Turns, address: str, last_id: int, told: Callable[[Notice], None]) -> None:
+    def __init__(self, turns: Turns, address: str, last_id: int, told: Callable[[Notice], None],
+                 held: Held) -> None:
         self.turns = turns
+        self.held = held
         self.address = address
         self.last_id = last_id
         self._told = told
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -10,7 +10,7 @@
 from canvasplank.codecs import isup
 from canvasplank.codecs.errors import BadMessageError
 from canvasplank.exchange import CallRecord, Exchange, Final
-from canvasplank.network.stream import Stream
+from canvasplank.network.stream import Held, Stream
 from canvasplank.settings import Figures
 
 LOG = logging.getLogger(__name__)
@@ -40,9 +40,8 @@
     """One connection from callers."""
 
     def __init__(self, callers: Callers) -> None:
-        super().__init__(callers.exchange.turns, "caller")
+        super().__init__(callers.exchange.turns, "caller", isup.Parser(), callers.held)
         self._callers = callers
-        self._parser = isup.Parser()
         self.open: set[str] = set()  # set-ups that came here and lack their answer
         self.half_closed = False
         self.asked = False  # whether it has brought a whole message
@@ -58,7 +57,7 @@
 
     def received(self, data: memoryview) -> None:
         """Read what it says."""
-        for message in self.messages(self._parser, data):
+        for message in self.messages(data):
             self.asked = True
             self._callers.take(self, message)
 
@@ -67,7 +66,7 @@
         """Whether it should have said something whole by now, a first message or the rest of one."""
         since_ms = self.begun_ms if self.asked else self.made_ms
         late = self.turns.now_ms - since_ms > SILENT_MS
-        return late and not self.open and (not self.asked or self._parser.in_message)
+        return late and not self.open and (not self.asked or self.parser.in_message)
 
     def eof_received(self) -> bool:
         """The caller sends no more; what it is owed can still be written."""
@@ -98,8 +97,10 @@
 class Callers:
     """All connections from callers."""
 
-    def __init__(self, exchange: Exchange, figures: Figures, sockets: int, idle_ms: float) -> None:
+    def __init__(self, exchange: Exchange, figures: Figures, sockets: int, idle_ms: float,
+                 held: Held) -> None:
         self.exchange = exchange
+        self.held = held
         self._figures = figures
         self.streams: dict[CallerStream, None] = {}  # in the order of their coming
         self.accepting = True
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -15,7 +15,7 @@
 from canvasplank.codecs.errors import BadMessageError
 from canvasplank.exchange import TAKEN_BACK_CAUSE, CallRecord, Exchange
 from canvasplank.network.connecting import Backoff, Connecting
-from canvasplank.network.stream import Stream
+from canvasplank.network.stream import Held, Stream
 from canvasplank.settings import REPORT_FIELDS, Ceilings, Instance, server_of
 
 LOG = logging.getLogger(__name__)
@@ -63,7 +63,8 @@
     """One connection to a server."""
 
     def __init__(self, servers: Servers, peer: Peer) -> None:
-        super().__init__(servers.exchange.turns, f"server {peer.server_id} {peer.address}")
+        label = f"server {peer.server_id} {peer.address}"
+        super().__init__(servers.exchange.turns, label, sip.Parser(), servers.held)
         self.servers = servers
         self.peer = peer
         self.address = peer.address
@@ -75,7 +76,6 @@
         self.connecting: Connecting | None = None
         self.made_ms = self.turns.now_ms
         self.asked_ms = -1.0  # when the first set-up was sent here of those after the last word
-        self._parser = sip.Parser()
 
     def connected(self) -> None:
         """Send what has waited."""
@@ -85,13 +85,13 @@
     def received(self, data: memoryview) -> None:
         """Read what it says."""
         self.peer.heard_ms = self.turns.now_ms
-        for message in self.messages(self._parser, data):
+        for message in self.messages(data):
             self.servers.take(self, message)
 
     def is_cut_short(self, limit_ms: float) -> bool:
         """Whether the rest of a message is overdue: all that follows would be taken for it."""
         late = self.turns.now_ms - self.begun_ms > limit_ms
-        return self.is_open and late and self._parser.in_message
+        return self.is_open and late and self.parser.in_message
 
     def is_hung(self, limit_ms: float) -> bool:
         """Whether it has brought not a word since a set-up went out on it."""
@@ -109,7 +109,7 @@
     @property
     def broke_off(self) -> bool:
         """Whether it ended amid what could not be read: an answer may have been lost with it."""
-        return self.spoilt or self._parser.in_message
+        return self.spoilt or self.parser.in_message
 
     def ended(self, error: Exception | None) -> None:
         """Its set-ups broke on their way."""
@@ -119,8 +119,9 @@
 class Servers:
     """All connections to call servers."""
 
-    def __init__(self, exchange: Exchange, ceilings: Ceilings, resend_ms: float | None) -> None:
+    def __init__(self, exchange: Exchange, ceilings: Ceilings, resend_ms: float | None, held: Held) -> None:
         self.exchange = exchange
+        self.held = held
         self.turns = exchange.turns
         self._ceilings = ceilings
         self._peers: dict[str, Peer] = {}
--- a/canvasplank/network/stream.py
+++ b/canvasplank/network/stream.py
@@ -17,7 +17,9 @@
 UNSENT_MOST = 1024 * 1024  # bytes that a peer may leave unread before its connection is ended
 LINGER_MS = 2000.0  # a peer may take so long to read the rest once its connection is to end
 READS_MOST = 256  # of what is left on a connection that was reset
-UNSENT_PAUSE = 64 * 1024  # bytes left unread from which on nothing more is taken from the peer
+UNSENT_PAUSE = 16 * 1024  # bytes left unread from which on nothing more is taken from the peer
+
+HELD_PART = 1 / 8  # of the memory: the most that all connections together may hold
 
 Message = TypeVar("Message", covariant=True)
 
@@ -29,9 +31,51 @@
     def in_message(self) -> bool:
         """Whether a message has begun and is not whole."""
 
+    @property
+    def held(self) -> int:
+        """Bytes of a message that is not whole."""
+
     def feed(self, data: memoryview) -> Iterator[Message]:
         """Messages completed by these bytes."""
 
+    def clear(self) -> None:
+        """Forget what is not whole."""
+
+
+class Held:
+    """What all connections hold, to be written or of messages not yet whole, and its bound.
+
+    Guards against hundreds of peers that each stay within the bounds of one connection, and together take
+    more than the memory that is configured: the one that holds most is ended, and so on.
+    """
+
+    def __init__(self, memory_bytes: float) -> None:
+        self._by_stream: dict[Stream, int] = {}
+        self._total = 0
+        self.limit(memory_bytes)
+
+    def limit(self, memory_bytes: float) -> None:
+        """Hold no more than the configuration has room for."""
+        self._most = HELD_PART * memory_bytes
+
+    def note(self, stream: Stream, size: int) -> None:
+        """What a connection holds now."""
+        self._total += size - self._by_stream.pop(stream, 0)
+        if size:
+            self._by_stream[stream] = size
+        if self._total > self._most:
+            self._shrink()
+
+    def _shrink(self) -> None:
+        """Look again, since what has left is not noted; then end the largest until the rest fits."""
+        self._by_stream = {stream: stream.held for stream in self._by_stream if stream.held}
+        self._total = sum(self._by_stream.values())
+        while self._total > self._most:
+            largest = max(self._by_stream, key=self._by_stream.__getitem__)
+            size = self._by_stream.pop(largest)
+            self._total -= size
+            largest.end_spoilt(f"leaves {size} bytes unread or without an end")
+
 
 class Stream(asyncio.BufferedProtocol):
     """One connection; subclasses read with ``received`` and hear of the end in ``ended``."""
@@ -40,8 +84,10 @@
     # One for all: guards against 16 KiB for each of hundreds of idle connections.
     _buffer = bytearray(MESSAGE_MOST)
 
-    def __init__(self, turns: Turns, label: str) -> None:
+    def __init__(self, turns: Turns, label: str, parser: Parser, all_held: Held) -> None:
         self.turns = turns
+        self.parser = parser
+        self._all_held = all_held
         self.label = label
         self.transport: asyncio.Transport | None = None
         self.heard_ms = turns.now_ms
@@ -65,10 +111,10 @@
     def ended(self, error: Exception | None) -> None:
         """The connection is over."""
 
-    def messages(self, parser: Parser[Message], data: memoryview) -> Iterator[Message]:
+    def messages(self, data: memoryview) -> Iterator[Message]:
         """What these bytes complete, minding since when a further message is due."""
-        was_in_message = parser.in_message
-        for message in parser.feed(data):
+        was_in_message = self.parser.in_message
+        for message in self.parser.feed(data):
             was_in_message = False
             yield message
         if not was_in_message:
@@ -80,10 +126,19 @@
             return
         self.used_ms = self.turns.now_ms
         self.transport.write(data)
+        self._note_held()
         if self.unsent > UNSENT_MOST:
             LOG.warning("%s: closed, leaves %d bytes unread", self.label, self.unsent)
             self.transport.abort()
 
+    def _note_held(self) -> None:
+        self._all_held.note(self, self.held)
+
+    @property
+    def held(self) -> int:
+        """Bytes kept for this connection, to be written or of a message that is not whole."""
+        return self.unsent + self.parser.held
+
     @property
     def unsent(self) -> int:
         """Bytes that the machine has not taken yet."""
@@ -127,6 +182,7 @@
         self.heard_ms = self.used_ms = self.turns.now_ms
         try:
             self.received(memoryview(self._buffer)[:nbytes])
+            self._note_held()
         except BadMessageError as fault:
             # Guards against a bad message ending the program: it ends its own connection, with one line.
             self.end_spoilt(str(fault))
@@ -139,6 +195,7 @@
         """What the peer says can be of no further use."""
         LOG.warning("%s: closed, %s", self.label, why)
         self.spoilt = True
+        self.parser.clear()  # now, and not at the end of a turn that brings hundreds like it
         if self.transport is not None:
             self.transport.abort()
 
@@ -168,6 +225,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """See asyncio, which closes the socket only after this."""
         self.turns.begin()
+        self._all_held.note(self, 0)
         if exc is not None:
             with contextlib.suppress(OSError):
                 descriptor = os.dup(self.transport.get_extra_info("socket").fileno())
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -6,6 +6,7 @@
 
 from canvasplank.deadlines import Deadlines, Turns
 from canvasplank.network.board import Board
+from canvasplank.network.stream import Held
 
 COMMENT_MS = 1000.0  # between two words of a board that is well
 
@@ -18,7 +19,7 @@
         host, port = server.sockets[0].getsockname()
         now = [0.0]
         turns = Turns(Deadlines(), clock=lambda: now[0])
-        board = Board(turns, f"{host}:{port}", 1, lambda notice: None)
+        board = Board(turns, f"{host}:{port}", 1, lambda notice: None, Held(1e6))
         board.start()
         first = board._stream
         async with asyncio.timeout(20):
--- a/tests/test_connecting.py
+++ b/tests/test_connecting.py
@@ -6,16 +6,17 @@
 import socket
 import struct
 
+from canvasplank.codecs import sip
 from canvasplank.deadlines import Deadlines, Turns
 from canvasplank.network.connecting import Connecting
-from canvasplank.network.stream import Stream
+from canvasplank.network.stream import Held, Stream
 
 
 class Heard(Stream):
     """Notes what becomes of it."""
 
     def __init__(self) -> None:
-        super().__init__(Turns(Deadlines()), "server")
+        super().__init__(Turns(Deadlines()), "server", sip.Parser(), Held(1e6))
         self.told: list[bytes | str] = []
 
     def connected(self) -> None:
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -89,6 +89,18 @@
     player.step("caller 0 silent 50")
 
 
+def test_what_all_connections_hold_is_bounded_by_the_memory(player):
+    """Each within its own bound, they would take more than there is: the largest goes."""
+    player.start(limits={"sockets": 64, "memory_mb": 1})
+    crowd = [player.caller(str(number)) for number in range(9)]
+    for party in crowd:
+        party.stream.sendall(b"\x3f\x00\x01" + bytes(15_000 - 500 * (party is crowd[0])))
+    player.step(r"program prints caller \S+: closed, leaves 15003 bytes unread or without an end")
+    crowd[0].stream.sendall(bytes(400))
+    crowd[0].silent("50")
+    assert player.log.read_text().count("without an end") == 1
+
+
 def test_a_peer_that_does_not_read_is_paused_and_costs_no_memory(player):
     """Tests without end from a caller that reads no answer: it is read no further, others are served."""
     player.start()
