Go on when the system's clock is set back, where nothing came due until it had caught up

Turns held now_ms at the latest reading, so after a step back by a minute no time-out, no final answer at its time and no look at silent connections came for a minute. A probe with a clock set back by 61 s: a deadline of 50 ms had not come due after 300 ms and the timer was armed for 61 s later.

Checked and ruled out: small corrections (slewing) move the steady clock alike, so we are never ahead for those; where the system's clock goes ahead, it counts at once, as before.

Lines at fault: deadlines.py unix_ms and Turns.begin.

Conclusion: while the system's clock is behind ours, we go on at nine tenths until it has caught up.

--- a/canvasplank/deadlines.py
+++ b/canvasplank/deadlines.py
@@ -15,14 +15,29 @@
 from sortedcontainers import SortedList
 
 LOG = logging.getLogger(__name__)
+CATCH_UP = 0.9  # so fast we go while the system's clock is behind us
 LOOKS_MOST = 16  # a stream that never pauses must not keep time from telling
 
 Deadline = tuple[float, int, Callable[[], None]]
 
 
-def unix_ms() -> float:
-    """The system's Unix clock in milliseconds."""
-    return time.time() * 1000
+class UnixClock:
+    """The system's Unix clock in milliseconds; where that is set back, it goes on, a little slower.
+
+    Guards against standing still until a clock that was set back has caught up: nothing came due meanwhile.
+    """
+
+    def __init__(self, unix: Callable[[], float] = time.time,
+                 steady: Callable[[], float] = time.monotonic) -> None:
+        self._unix, self._steady = unix, steady
+        self._now_s, self._steady_s = unix(), steady()
+
+    def __call__(self) -> float:
+        """What time it is."""
+        unix_s, steady_s = self._unix(), self._steady()
+        self._now_s = max(unix_s, self._now_s + CATCH_UP * (steady_s - self._steady_s))
+        self._steady_s = steady_s
+        return self._now_s * 1000
 
 
 class Deadlines:
@@ -59,8 +74,9 @@
 class Turns:
     """One clock that never runs backwards and stands still within a turn, and the sweep at a turn's end."""
 
-    def __init__(self, deadlines: Deadlines, clock: Callable[[], float] = unix_ms) -> None:
+    def __init__(self, deadlines: Deadlines, clock: Callable[[], float] | None = None) -> None:
         self.deadlines = deadlines
+        clock = clock or UnixClock()
         self.now_ms = clock()
         self.lateness_ms = 0.0  # by how much this turn began after it should have
         self._clock = clock
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 
-from canvasplank.deadlines import Deadlines, Turns
+from canvasplank.deadlines import Deadlines, Turns, UnixClock
 
 
 def test_they_come_due_in_order_and_can_be_taken_out():
@@ -39,6 +39,14 @@
     assert seen == [110.0, 110.0]
 
 
+def test_a_clock_that_is_set_back_goes_on_from_where_it_was():
+    """It stood still until the system's had caught up, and no time-out was told."""
+    unix, steady = iter([1000.0, 1000.1, 940.2, 940.3, 1060.4]), iter([5.0, 5.1, 5.2, 5.3, 5.4])
+    clock = UnixClock(lambda: next(unix), lambda: next(steady))
+    told = [round(clock()) for _ in range(4)]
+    assert told == [1_000_100, 1_000_190, 1_000_280, 1_060_400]
+
+
 def test_a_pause_of_ours_is_read_up_before_time_tells():
     """What came while we stood still is told before any deadline that passed meanwhile."""
     told = []
