Count nothing of a connection that is over to what connections hold

Seen: by reading the bound on what connections hold again. What came before a reset is read out after the connection's end was noted, and for one that was reset while new there is no end at all; half a message read out there was counted for good, and in time the bound would have ended connections that are well.

Checked: the test of a reset while new, with half a message, left 3 bytes in the count; now 0.

Lines at fault: network/stream.py connection_lost and read_out.

--- a/canvasplank/network/stream.py
+++ b/canvasplank/network/stream.py
@@ -51,7 +51,7 @@
 
     def __init__(self, memory_bytes: float) -> None:
         self._by_stream: dict[Stream, int] = {}
-        self._total = 0
+        self.total = 0
         self.limit(memory_bytes)
 
     def limit(self, memory_bytes: float) -> None:
@@ -60,20 +60,20 @@
 
     def note(self, stream: Stream, size: int) -> None:
         """What a connection holds now."""
-        self._total += size - self._by_stream.pop(stream, 0)
+        self.total += size - self._by_stream.pop(stream, 0)
         if size:
             self._by_stream[stream] = size
-        if self._total > self._most:
+        if self.total > self._most:
             self._shrink()
 
     def _shrink(self) -> None:
         """Look again, since what has left is not noted; then end the largest until the rest fits."""
         self._by_stream = {stream: stream.held for stream in self._by_stream if stream.held}
-        self._total = sum(self._by_stream.values())
-        while self._total > self._most:
+        self.total = sum(self._by_stream.values())
+        while self.total > self._most:
             largest = max(self._by_stream, key=self._by_stream.__getitem__)
             size = self._by_stream.pop(largest)
-            self._total -= size
+            self.total -= size
             largest.end_spoilt(f"leaves {size} bytes unread or without an end")
 
 
@@ -87,7 +87,7 @@
     def __init__(self, turns: Turns, label: str, parser: Parser, all_held: Held) -> None:
         self.turns = turns
         self.parser = parser
-        self._all_held = all_held
+        self.all_held = all_held
         self.label = label
         self.transport: asyncio.Transport | None = None
         self.heard_ms = turns.now_ms
@@ -132,7 +132,7 @@
             self.transport.abort()
 
     def _note_held(self) -> None:
-        self._all_held.note(self, self.held)
+        self.all_held.note(self, self.held)
 
     @property
     def held(self) -> int:
@@ -211,6 +211,7 @@
                 if not count:
                     break
                 self.buffer_updated(count)
+        self.all_held.note(self, 0)  # guards the bound against counting what is over, for good
 
     def pause_writing(self) -> None:
         """The peer does not read: take nothing more from it meanwhile."""
@@ -225,10 +226,10 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """See asyncio, which closes the socket only after this."""
         self.turns.begin()
-        self._all_held.note(self, 0)
         if exc is not None:
             with contextlib.suppress(OSError):
                 descriptor = os.dup(self.transport.get_extra_info("socket").fileno())
                 with socket.socket(fileno=descriptor) as left:
                     self.read_out(left)
         self.ended(exc)
+        self.all_held.note(self, 0)
--- a/tests/test_connecting.py
+++ b/tests/test_connecting.py
@@ -24,6 +24,7 @@
 
     def received(self, data: memoryview) -> None:
         self.told.append(bytes(data))
+        assert not list(self.messages(data)), "it is not whole"
 
 
 async def connect(listener: socket.socket, resets: bool) -> Heard:
@@ -45,7 +46,9 @@
 def test_what_was_written_before_a_reset_while_new_is_read():
     """A server tells a release on the next connection as well; it must not get lost there, too."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
-        assert asyncio.run(connect(listener, resets=True)).told == [b"BYE", "failed"]
+        heard = asyncio.run(connect(listener, resets=True))
+        assert heard.told == [b"BYE", "failed"]
+        assert heard.all_held.total == 0, "what is over is held no more"
 
 
 def test_small_messages_are_not_held_back():
