Accept a tenth of the callers' share at once; note what remains

Checked: asyncio takes the listener's backlog, 512, as the number of connections that it accepts in one go, and tells of them in the loop's next rounds; closing for room came too late for a crowd.

Lines at fault: network/callers.py listen.

Conclusion: a tenth of the callers' share in one go, with the machine's queue at 512 as before.

--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import logging
+import os
 import re
+import socket
 from collections.abc import Hashable
 
 from canvasplank.codecs import isup
@@ -30,6 +32,7 @@
 BACKLOG = 512
 OWED_MOST = 20_000  # releases kept while no caller is connected
 SHARE_OF_SOCKETS = 0.6  # the most that callers may hold, so that servers, board and files find room
+ACCEPTED_SHARE = 0.1  # of those, the most that are accepted in one go
 IDLE_LOOK_MS = 250.0
 OWED_MS = 500.0  # a release waits so long for a connection of callers' own, then any will do
 UNHEARD_MS = 1000.0  # a release this old has been read, whether or not the caller says so
@@ -110,9 +113,17 @@
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
-        """Open the listener, on this address only."""
+        """Open the listener, on this address only.
+
+        As its backlog asyncio also takes the number that it accepts in one go, before any is told us.  Guards
+        against a crowd that takes every descriptor so; the listener then stands still for a second.
+        """
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: CallerStream(self), host, port, backlog=BACKLOG)
+        at_once = max(1, int(self._most * ACCEPTED_SHARE))
+        self._server = await loop.create_server(lambda: CallerStream(self), host, port, backlog=at_once)
+        for listener in self._server.sockets:  # the machine's own queue is to be longer
+            with socket.socket(fileno=os.dup(listener.fileno())) as same:
+                same.listen(BACKLOG)
         self._look_for_idle()
 
     def limit(self, sockets: int) -> None:
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -68,6 +68,21 @@
     play_call(player)
 
 
+def test_a_crowd_that_comes_at_once_does_not_take_every_descriptor(player):
+    """All were accepted before one was closed for room; then the listener stood still for a second."""
+    player.add("a", "ready")
+    player.start(descriptors=64)
+    player.step("server a accepts")
+    player.step("program prints listens on")
+    player.step("program signalled SIGSTOP")
+    crowd = [player.caller(str(number)) for number in range(100, 250)]
+    player.step("program signalled SIGCONT")
+    play_call(player)
+    for party in crowd:
+        party.close()
+    assert "Too many open files" not in player.log.read_text()
+
+
 def play_call(player):
     """One call, without the start of its record."""
     for line in (RECORDS[0].parent / "call.txt").read_text().splitlines():
