Listen with SO_REUSEPORT so that a new version starts beside the running one

Change: the callers' listener shares its port. Measured: a loopback test starts two processes on one port, stops the old with SIGTERM (exit 0) and connects to the new; without the change the second exits. Ruled out: the board and the server side, which bind nothing.

--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -116,11 +116,13 @@
         """Open the listener, on this address only.
 
         As its backlog asyncio also takes the number that it accepts in one go, before any is told us.  Guards
-        against a crowd that takes every descriptor so; the listener then stands still for a second.
+        against a crowd that takes every descriptor so; the listener then stands still for a second.  The port
+        is shared (``SO_REUSEPORT``): a new version listens beside this one while it is still serving.
         """
         loop = asyncio.get_running_loop()
         at_once = max(1, int(self._most * ACCEPTED_SHARE))
-        self._server = await loop.create_server(lambda: CallerStream(self), host, port, backlog=at_once)
+        self._server = await loop.create_server(lambda: CallerStream(self), host, port, backlog=at_once,
+                                                reuse_port=True)
         for listener in self._server.sockets:  # the machine's own queue is to be longer
             with socket.socket(fileno=os.dup(listener.fileno())) as same:
                 same.listen(BACKLOG)
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,84 @@
+"""The program as operators run it: started beside itself, asked on its admin address, drained and resumed."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+WAIT_S = 20.0  # bounds every wait here; none depends on speed
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Proxy:
+    """One process of the program on loopback, with the example configuration."""
+
+    def __init__(self, tmp: Path, listen: int, admin: int | None = None) -> None:
+        configuration = json.loads((ROOT / "examples" / "config.json").read_text())
+        configuration["listen"] = f"127.0.0.1:{listen}"
+        configuration["board"] = f"127.0.0.1:{free_port()}"  # nobody is there: the board is retried
+        path = tmp / f"config-{listen}-{admin}.json"
+        path.write_text(json.dumps(configuration))
+        environment = {**os.environ, "EDGE_CONFIG": str(path)}
+        if admin is not None:
+            environment["EDGE_ADMIN"] = f"127.0.0.1:{admin}"
+        self.process = subprocess.Popen([sys.executable, "-m", "canvasplank"], cwd=ROOT, env=environment,
+                                        stderr=subprocess.PIPE, text=True)
+        self.lines: list[str] = []
+
+    def wait_for(self, words: str) -> None:
+        """Read its log until a line says so, or it ends."""
+        deadline = time.monotonic() + WAIT_S
+        while time.monotonic() < deadline:
+            line = self.process.stderr.readline()
+            if not line:
+                break
+            self.lines.append(line)
+            if words in line:
+                return
+        pytest.fail(f"no line with {words!r}: {self.lines}")
+
+    def stop(self) -> int:
+        """SIGTERM, and its exit code."""
+        self.process.send_signal(signal.SIGTERM)
+        try:
+            return self.process.wait(WAIT_S)
+        finally:
+            self.process.kill()
+            self.process.stderr.close()
+
+
+@pytest.fixture
+def started(tmp_path: Path) -> Iterator[list[Proxy]]:
+    proxies: list[Proxy] = []
+    yield proxies
+    for proxy in proxies:
+        if proxy.process.poll() is None:
+            proxy.stop()
+
+
+def test_a_new_version_listens_beside_the_old(tmp_path, started):
+    """Found on the upgrade day: the second process exited with 2, its address being in use."""
+    port = free_port()
+    started.append(old := Proxy(tmp_path, port))
+    old.wait_for("listens on")
+    started.append(new := Proxy(tmp_path, port))
+    new.wait_for("listens on")
+    assert old.stop() == 0
+    with socket.create_connection(("127.0.0.1", port), timeout=WAIT_S):
+        pass  # the new one still takes callers
+    assert new.stop() == 0
