Admin address: health, counters, quiesce and resume, one line a connection

Change: canvasplank/admin.py listens where admin or EDGE_ADMIN says, with its own bound on connections and a 1 s wait for the line. health is yes once the callers' listener is up, unless quiesced or stopping; quiesce closes the callers' connections that carry no open set-up and no standing call (those carry the releases), the rest once they do; counters gives served, refused, failed and attempts by class, in flight, servers known and excluded.

--- a/canvasplank/__main__.py
+++ b/canvasplank/__main__.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 
 from canvasplank import interface as api
+from canvasplank.admin import Admin
 from canvasplank.counters import Counters
 from canvasplank.deadlines import Deadlines, Turns
 from canvasplank.exchange import Exchange
@@ -36,7 +37,7 @@
 SERVE_ON_MS = 700.0  # after SIGTERM callers may still come for so long
 LONGEST_MS = 3000.0  # a caller's deadline counts as no longer than this when we are to end
 MIB = 2**20
-AT_START = ("name", "listen", "settings")  # what holds from the next start on when it has changed
+AT_START = ("name", "listen", "admin", "settings")  # what holds from the next start on when it has changed
 LEAVE_EARLY_MS = 300.0  # whatever is open so long before somebody may kill us is failed
 LOOK_MS = 20.0
 FLUSH_MS = 200.0  # for the last bytes to leave
@@ -68,6 +69,8 @@
         self._leave_ms = longest_ms + SERVE_ON_MS - LEAVE_EARLY_MS
         self._closing_ms = 0.0
         self._done = asyncio.Event()
+        self._listening = False
+        self._admin = Admin(self)
 
     async def run(self) -> None:
         """Serve until told to stop."""
@@ -80,8 +83,34 @@
         self._servers.listed(True, _known_instances(self._configuration.known.notices))
         self._board.start()
         await self._callers.listen(*split_address(self._configuration.listen))
+        self._listening = True
         LOG.info("%s listens on %s", self._configuration.name, self._configuration.listen)
+        if self._configuration.admin:
+            await self._admin.listen(self._configuration.admin)
+            LOG.info("the operators' address is %s", self._configuration.admin)
         await self._done.wait()
+        self._admin.close()
+
+    # -------------------------------------------------------------------------------- for the operators
+
+    def ready(self) -> bool:
+        """See ``Operated``."""
+        return self._listening and not self._exchange.closing and not self._callers.quiesced
+
+    def figures(self) -> list[str]:
+        """See ``Operated``; a request that was answered is in flight until the call it set up is over."""
+        in_flight = self._exchange.open_calls + self._exchange.standing_calls
+        return self.counters.figures(in_flight, *self._servers.known_and_excluded())
+
+    def quiesce(self) -> None:
+        """See ``Operated``."""
+        self._turns.begin()
+        self._callers.quiesce()
+
+    def resume(self) -> None:
+        """See ``Operated``."""
+        self._turns.begin()
+        self._callers.resume()
 
     def print_counters(self) -> None:
         """For the operators."""
@@ -170,6 +199,12 @@
     configuration = load_configuration(os.environ.get("EDGE_CONFIG", ""))
     configuration.listen = os.environ.get("EDGE_LISTEN", configuration.listen)
     configuration.name = os.environ.get("EDGE_NAME", configuration.name)
+    configuration.admin = os.environ.get("EDGE_ADMIN", configuration.admin)
+    for address in (configuration.listen, configuration.admin or "any:0"):
+        try:
+            split_address(address)
+        except ValueError as fault:
+            raise ConfigurationError(f"configuration: {fault}") from None
     return configuration
 
 
--- a/canvasplank/counters.py
+++ b/canvasplank/counters.py
@@ -4,17 +4,35 @@
 
 from collections import Counter
 
+CLASS_FIGURES = ("served", "refused", "failed", "attempts")  # by class, in the front's names
+
 
 class Counters:
     """Counts by name, in the groups that an operator asks about: taken in, sent, answered, ended, sockets."""
 
     def __init__(self) -> None:
         self._counts: Counter[str] = Counter()
+        self._by_class: Counter[tuple[str, str]] = Counter()  # (figure, class)
 
     def add(self, name: str, more: int = 1) -> None:
         """Count something; names are ``group.what``."""
         self._counts[name] += more
 
+    def by_class(self, figure: str, class_name: str) -> None:
+        """Count a request's end, or an attempt, for its class: one of ``CLASS_FIGURES``."""
+        self._by_class[figure, class_name] += 1
+
+    def figures(self, in_flight: int, servers_known: int, servers_excluded: int) -> list[str]:
+        """The figures in the exposition form that the front reads, a line each.
+
+        Every class seen has all four figures, so that a 0 reads as 0 and not as missing.
+        """
+        classes = sorted({class_name for _, class_name in self._by_class})
+        lines = [f'edge_{figure}{{class="{_escaped(name)}"}} {self._by_class[figure, name]}'
+                 for figure in CLASS_FIGURES for name in classes]
+        return [*lines, f"edge_in_flight {in_flight}", f"edge_call_servers_known {servers_known}",
+                f"edge_call_servers_excluded {servers_excluded}"]
+
     def __getitem__(self, name: str) -> int:
         return self._counts[name]
 
@@ -25,3 +43,8 @@
             group, _, what = name.partition(".")
             groups.setdefault(group, []).append(f"{what}={self._counts[name]}")
         return [f"counters {group}: {' '.join(parts)}" for group, parts in groups.items()]
+
+
+def _escaped(label: str) -> str:
+    """A label value as the exposition format writes it."""
+    return label.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/canvasplank/exchange.py
+++ b/canvasplank/exchange.py
@@ -155,6 +155,7 @@
         if len(self._open) >= self._most_open or held_bytes > self._most_held_bytes:
             # Guards the memory that this machine has by its configuration, be it 32 or 192 MB.
             self.counters.add("answered.over_capacity")
+            self.counters.by_class("refused", call.class_name)
             self.callers.reject(call.origin, call.id, Final.REFUSED, None)
             return True
         self._open[call.id] = call
@@ -225,6 +226,7 @@
         self._close(call)
         self._standing[call_id] = call
         self.counters.add("answered.stands")
+        self.counters.by_class("served", call.class_name)
         self.callers.answer(call.origin, call_id, description)
         self._tell(api.Established(call_id, out.number, server_id, self.turns.now_ms - out.sent_ms))
 
@@ -357,6 +359,7 @@
     def _reject(self, call: CallRecord, final: Final, retry_after_ms: float | None) -> None:
         call.owed = False
         self.counters.add(f"answered.{final.value}")
+        self.counters.by_class("refused" if final is Final.REFUSED else "failed", call.class_name)
         self.callers.reject(call.origin, call.id, final, retry_after_ms)
         if call.out is None:
             self._close(call)
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -37,6 +37,7 @@
 OWED_MS = 500.0  # a release waits so long for a connection of callers' own, then any will do
 UNHEARD_MS = 1000.0  # a release this old has been read, whether or not the caller says so
 UNHEARD_MOST = 1000
+QUIESCED_IDLE_MS = 200.0  # while quiesced, a connection unused for so long is closed: new ones come for 0.2 s
 
 
 class CallerStream(Stream):
@@ -51,6 +52,7 @@
         self.made_ms = self.turns.now_ms
         self.calls = False  # whether it has carried calls, and not only tests
         self.unheard: dict[str, tuple[int, float]] = {}  # releases not confirmed: cause, time
+        self.standing: set[str] = set()  # calls answered here that stand: their releases come here
 
     def connected(self) -> None:
         """Take it into the pool."""
@@ -88,6 +90,8 @@
         if len(self.unheard) > UNHEARD_MOST:
             del self.unheard[next(iter(self.unheard))]
         self.write(isup.release(call_id, cause))
+        self.standing.discard(call_id)
+        self.leave_if_quiesced()
 
     def answered(self, call_id: str, data: bytes) -> None:
         """Write a final answer."""
@@ -95,6 +99,17 @@
         self.write(data)
         if self.half_closed and not self.open:
             self.close()
+        self.leave_if_quiesced()
+
+    @property
+    def carries_nothing(self) -> bool:
+        """No set-up is open here, and no call that was answered here stands."""
+        return not self.open and not self.standing
+
+    def leave_if_quiesced(self) -> None:
+        """While the operators send callers away, a connection goes once it carries nothing."""
+        if self._callers.quiesced and self.carries_nothing and self.is_open:
+            self.close()
 
 
 class Callers:
@@ -107,6 +122,7 @@
         self._figures = figures
         self.streams: dict[CallerStream, None] = {}  # in the order of their coming
         self.accepting = True
+        self.quiesced = False  # the operators send callers away: connections go as soon as nothing is open
         self._owed: dict[str, int] = {}  # releases that wait for a connection, with their causes
         self.limit(sockets)
         self._idle_ms = idle_ms
@@ -137,6 +153,16 @@
         if self._server is not None:
             self._server.close()
 
+    def quiesce(self) -> None:
+        """Send callers away: each connection is closed once it has no open set-up, from now on."""
+        self.quiesced = True
+        for stream in list(self.streams):
+            stream.leave_if_quiesced()
+
+    def resume(self) -> None:
+        """Keep connections again."""
+        self.quiesced = False
+
     def unsent(self) -> int:
         """Bytes still to be written to callers."""
         return sum(stream.unsent for stream in self.streams)
@@ -145,6 +171,7 @@
 
     def answer(self, origin: Hashable, call_id: str, description: bytes) -> None:
         """See ``CallerSide``."""
+        origin.standing.add(call_id)
         origin.answered(call_id, isup.answer(call_id, description))
 
     def reject(self, origin: Hashable, call_id: str, final: Final, retry_after_ms: float | None) -> None:
@@ -153,6 +180,8 @@
 
     def release(self, origin: Hashable | None, call_id: str, cause: int) -> None:
         """See ``CallerSide``; no connection owns a standing call: any will do, or the next one to come."""
+        if origin is not None:
+            origin.standing.discard(call_id)
         usable = origin is not None and origin.is_open and not origin.half_closed
         stream = origin if usable else self._any(calls=True)
         if stream is not None:
@@ -223,7 +252,7 @@
             case isup.Kind.RELEASE_HEARD:
                 stream.unheard.pop(message.call_id, None)
             case isup.Kind.TEST:
-                stream.write(isup.test_result(message.call_id, not self.exchange.closing))
+                stream.write(isup.test_result(message.call_id, not (self.exchange.closing or self.quiesced)))
             case isup.Kind.PROGRESS:
                 pass  # free, means nothing
             case _:
@@ -235,6 +264,7 @@
         if new and (call.class_name not in self._figures.classes or not self._possible(message)):
             # Guards the servers' work, and other callers' set-ups, against what no server can use.
             self.exchange.counters.add("answered.invalid")
+            self.exchange.counters.by_class("failed", call.class_name)
             self.reject(stream, call.id, Final.INVALID, None)
             return
         stream.open.add(call.id)
@@ -303,10 +333,14 @@
     def _look_for_idle(self) -> None:
         """Guards against connections kept for nothing: long unused, or silent where a message is due."""
         now_ms = self.exchange.turns.now_ms
+        idle_ms = QUIESCED_IDLE_MS if self.quiesced else self._idle_ms
+        def unused(stream: CallerStream) -> bool:
+            return stream.carries_nothing if self.quiesced else not stream.open
+
         for stream in [s for s in self.streams if s.is_open]:
             if stream.owes_message:
                 stream.end_spoilt(f"nothing whole for {SILENT_MS:.0f} ms")
-            elif not stream.open and now_ms - stream.used_ms > self._idle_ms:
+            elif unused(stream) and now_ms - stream.used_ms > idle_ms:
                 stream.close()
         self.exchange.turns.after(IDLE_LOOK_MS, self._look_for_idle)
 
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -69,7 +69,7 @@
         self.peer = peer
         self.address = peer.address
         self.open: dict[str, int] = {}  # set-ups sent here and not ended, with the numbers of their attempts
-        self.waiting: dict[str, tuple[int, bytes]] = {}  # set-ups for when it is up
+        self.waiting: dict[str, tuple[int, bytes, str]] = {}  # set-ups for when it is up, with their classes
         self.unheard: dict[str, tuple[int, float]] = {}  # releases sent here and not confirmed: cause, time
         self.standing: set[str] = set()  # calls set up here that stand: the server releases them here
         self.replaced_ms = -1.0  # when another took its place
@@ -130,6 +130,12 @@
         self._resend_ms = resend_ms or FIRST_RESEND_MS
         self.turns.after(LOOK_SHARE * self._resend_ms, self._look)
 
+    def known_and_excluded(self) -> tuple[int, int]:
+        """Servers in the list, and those of them that nothing new goes to: draining, or not reachable now."""
+        listed = [p for p in self._peers.values() if p.state is not api.ServerState.GONE]
+        avoided = [p for p in listed if p.state is not api.ServerState.READY or p.backoff.failures > 0]
+        return len(listed), len(avoided)
+
     # -------------------------------------------------------------------------------- for the board
 
     def listed(self, complete: bool, instances: list[Instance]) -> None:
@@ -222,7 +228,7 @@
         """Nothing new may reach it, not even what waits for a connection or lies unsent in one (rule 3)."""
         streams = [*peer.streams, peer.current] if peer.current not in peer.streams else peer.streams
         for stream in [s for s in streams if s is not None]:
-            for call_id, (attempt, _) in list(stream.waiting.items()):
+            for call_id, (attempt, *_) in list(stream.waiting.items()):
                 del stream.waiting[call_id]
                 self.exchange.ended(peer.server_id, call_id, attempt, api.Outcome.NO_CONNECTION)
             if stream.open and stream.unsent:
@@ -241,11 +247,11 @@
         self._connect(peer)
         stream = peer.current
         if stream.is_open:
-            self._invite(stream, call.id, attempt, data)
+            self._invite(stream, call.id, attempt, data, call.class_name)
         else:
-            stream.waiting[call.id] = attempt, data
+            stream.waiting[call.id] = attempt, data, call.class_name
 
-    def _invite(self, stream: ServerStream, call_id: str, attempt: int, data: bytes) -> None:
+    def _invite(self, stream: ServerStream, call_id: str, attempt: int, data: bytes, class_name: str) -> None:
         for each in stream.peer.streams:
             # Guards against ending the call by the release of an earlier attempt here, sent once more.
             each.unheard.pop(call_id, None)
@@ -253,6 +259,7 @@
             stream.asked_ms = self.turns.now_ms
         stream.open[call_id] = attempt
         stream.write(data)
+        self.exchange.counters.by_class("attempts", class_name)
 
     def cancel(self, server_id: str, call_id: str) -> None:
         """See ``ServerSide``: on the connection of the set-up, or not at all where it was never sent."""
@@ -324,8 +331,8 @@
         owed, peer.owed = peer.owed, {}
         for call_id, cause in owed.items():
             self._bye(stream, call_id, cause)
-        for call_id, (attempt, data) in stream.waiting.items():
-            self._invite(stream, call_id, attempt, data)
+        for call_id, (attempt, data, class_name) in stream.waiting.items():
+            self._invite(stream, call_id, attempt, data, class_name)
         stream.waiting.clear()
         self._retire(peer)
 
@@ -340,7 +347,7 @@
             LOG.info("%s: no connection: %s", stream.label, why)
         self.exchange.counters.add("sockets.servers_failed")
         waiting, stream.waiting = stream.waiting, {}
-        for call_id, (attempt, _) in waiting.items():
+        for call_id, (attempt, *_) in waiting.items():
             self.exchange.ended(peer.server_id, call_id, attempt, api.Outcome.NO_CONNECTION)
         self._keep_up(peer)
 
--- a/canvasplank/settings.py
+++ b/canvasplank/settings.py
@@ -77,6 +77,7 @@
     board: str
     settings: dict[str, Any]
     name: str = ""
+    admin: str = ""  # the operators' address; none: no such listener
     known: Known = msgspec.field(default_factory=Known)
     limits: Limits = msgspec.field(default_factory=Limits)
 
@@ -111,7 +112,7 @@
     try:
         with open(path, "rb") as file:
             configuration = msgspec.json.decode(file.read(), type=Configuration)
-        for address in (configuration.listen, configuration.board):
+        for address in (configuration.listen, configuration.board, configuration.admin or "any:0"):
             split_address(address)
         int(configuration.seed, 16)
     except (OSError, msgspec.MsgspecError, ValueError, RecursionError) as fault:  # the last: too deep
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -82,3 +82,37 @@
     with socket.create_connection(("127.0.0.1", port), timeout=WAIT_S):
         pass  # the new one still takes callers
     assert new.stop() == 0
+
+
+def ask(port: int, line: str) -> list[str]:
+    """One command on the admin address, and the lines of its answer."""
+    with socket.create_connection(("127.0.0.1", port), timeout=WAIT_S) as admin:
+        admin.sendall(f"{line}\n".encode())
+        answer = b""
+        while chunk := admin.recv(4096):
+            answer += chunk
+    return answer.decode().splitlines()
+
+
+def test_health_quiesce_and_resume(tmp_path, started):
+    """Found on the drain day: 4 s after quiesce the proxy still said yes, and kept its callers."""
+    port, admin = free_port(), free_port()
+    started.append(proxy := Proxy(tmp_path, port, admin))
+    proxy.wait_for("operators' address")
+    assert ask(admin, "health")[0].startswith("200")
+    with socket.create_connection(("127.0.0.1", port), timeout=WAIT_S) as caller:
+        assert ask(admin, "quiesce")[0].startswith("200")
+        assert ask(admin, "health")[0].startswith("400")
+        assert caller.recv(1) == b"", "a connection with nothing open is closed at once"
+    assert ask(admin, "resume")[0].startswith("200")
+    assert ask(admin, "health")[0].startswith("200")
+
+
+def test_counters_and_what_is_not_known(tmp_path, started):
+    port, admin = free_port(), free_port()
+    started.append(proxy := Proxy(tmp_path, port, admin))
+    proxy.wait_for("operators' address")
+    lines = ask(admin, "counters")
+    assert lines[0].startswith("200") and lines[-1] == "EOF"
+    assert {"edge_in_flight 0", "edge_call_servers_known 1"} <= set(lines)
+    assert ask(admin, "reboot")[0].startswith("400")
