--- a/canvasplank/__main__.py
+++ b/canvasplank/__main__.py
@@ -18,6 +18,7 @@
 from canvasplank.exchange import Exchange
 from canvasplank.network.board import Board
 from canvasplank.network.callers import Callers
+from canvasplank.network.loop import PipeLoop
 from canvasplank.network.servers import Servers
 from canvasplank.network.stream import Held
 from canvasplank.policy import Controller
@@ -188,7 +189,8 @@
     logging.basicConfig(format="%(asctime)s %(message)s", level=logging.INFO, stream=sys.stderr)
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     try:
-        asyncio.run(_serve(_configuration()))
+        with asyncio.Runner(loop_factory=PipeLoop) as runner:
+            runner.run(_serve(_configuration()))
     except (ConfigurationError, api.SettingsError, OSError, ValueError) as fault:
         print(f"canvasplank: {one_line(fault)}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/tests/test_loop.py
@@ -0,0 +1,39 @@
+"""The event loop works where Unix sockets are refused: it is woken, and hears signals, through a pipe."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import threading
+
+from canvasplank.network.loop import PipeLoop
+
+
+def refused(*_args, **_kwargs):
+    raise OSError("no Unix sockets on this platform")
+
+
+def test_signals_and_other_threads_wake_it(monkeypatch):
+    """asyncio's own loop fails at its start here, since its wake-up is a socket pair."""
+    monkeypatch.setattr(socket, "socketpair", refused)
+    heard: list[str] = []
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        done = asyncio.Event()
+        loop.add_signal_handler(signal.SIGUSR2, lambda: (heard.append("signal"), done.set()))
+        os.kill(os.getpid(), signal.SIGUSR2)
+        async with asyncio.timeout(10):
+            await done.wait()
+        done.clear()
+        woken = lambda: (heard.append("thread"), done.set())  # noqa: E731
+        threading.Thread(target=loop.call_soon_threadsafe, args=(woken,)).start()
+        async with asyncio.timeout(10):
+            await done.wait()
+        loop.remove_signal_handler(signal.SIGUSR2)
+
+    with asyncio.Runner(loop_factory=PipeLoop) as runner:
+        runner.run(run())
+    assert heard == ["signal", "thread"]
