Learning: ask one peer for its view, once, within 0.5 s, or start as if alone

Change: canvasplank/learning/asking.py: the line 'view', a length and the view back; any failure is one log line and None. Measured: 8 loopback tests with stand-in peers; each failing peer costs one log line and at most the bound (0.3 s in the tests).

--- /dev/null
+++ b/canvasplank/learning/asking.py
@@ -0,0 +1,63 @@
+"""The asking side: a new instance asks one running peer for its view, once, within a short bound.
+
+On the wire: the line ``view`` and, back, four bytes of big-endian length and that many bytes of the view
+(``learning.view``).  Whatever goes wrong (a refused address, a peer slow or silent, a view cut short, too
+large or not ours) is one log line and no view: the instance then starts as if it had asked no one, and its
+start is never held up past ``bound_s``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import struct
+
+from canvasplank.learning.view import MOST_BYTES, PeerView, ViewError, decode
+from canvasplank.settings import split_address
+
+LOG = logging.getLogger(__name__)
+ASK = b"view\n"
+LENGTH = struct.Struct(">I")
+BOUND_S = 0.5  # what a start may wait for a peer, all told
+
+
+class RefusedError(Exception):
+    """The peer's answer was no view; the message says why."""
+
+
+async def ask(address: str, bound_s: float = BOUND_S) -> PeerView | None:
+    """The peer's view, or None with one log line."""
+    try:
+        async with asyncio.timeout(bound_s):
+            return await _ask(address)
+    except TimeoutError:
+        why = f"no whole answer within {bound_s * 1000:.0f} ms"
+    except (OSError, ValueError, RefusedError, asyncio.IncompleteReadError) as fault:
+        why = " ".join(str(fault).split()) or type(fault).__name__
+    LOG.warning("no view taken from %s: %s; starting as one that asked no one", address, why)
+    return None
+
+
+async def _ask(address: str) -> PeerView:
+    host, port = split_address(address)
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        writer.write(ASK)
+        (length,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
+        if length > MOST_BYTES:
+            raise RefusedError(f"a view of {length} bytes announced, more than {MOST_BYTES}")
+        data = await reader.readexactly(length)
+    finally:
+        writer.close()
+        with contextlib.suppress(OSError):
+            await writer.wait_closed()
+    try:
+        return decode(data)
+    except ViewError as fault:
+        raise RefusedError(str(fault)) from None
+
+
+def framed(data: bytes) -> bytes:
+    """A view as the exporting side writes it."""
+    return LENGTH.pack(len(data)) + data
--- /dev/null
+++ b/tests/test_learning_asking.py
@@ -0,0 +1,78 @@
+"""Asking a peer for its view: stand-in peers on loopback that answer well, late, never, short or wrongly."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import time
+
+import pytest
+
+from canvasplank.learning import view
+from canvasplank.learning.asking import ask, framed
+from canvasplank.learning.view import Learned, PeerView
+
+GOOD = PeerView(view.VERSION, "n1", 1.8e12, [Learned("s-1", None, 1.8e12, rate_per_s=12.0, slow=True)])
+BOUND_S = 0.3
+
+
+def refused_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"  # closed again: nobody listens there
+
+
+async def stand_in(answer: bytes | None, delay_s: float = 0.0):
+    """A peer that waits, then writes ``answer``; None: it never says anything."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readline()
+        if answer is None:
+            await asyncio.sleep(60)
+        await asyncio.sleep(delay_s)
+        writer.write(answer)
+        await writer.drain()
+        writer.close()
+
+    return await asyncio.start_server(serve, "127.0.0.1", 0)
+
+
+def played(answer: bytes | None, delay_s: float = 0.0) -> tuple[PeerView | None, float]:
+    async def run() -> tuple[PeerView | None, float]:
+        server = await stand_in(answer, delay_s)
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            began = time.monotonic()
+            taken = await ask(f"127.0.0.1:{port}", BOUND_S)
+            return taken, time.monotonic() - began
+
+    return asyncio.run(run())
+
+
+def test_a_peer_that_answers_gives_its_view():
+    taken, _ = played(framed(view.encode(GOOD)))
+    assert taken == GOOD
+
+
+@pytest.mark.parametrize(("answer", "delay_s", "logged"), [
+    (None, 0.0, "no whole answer within 300 ms"),  # never answers
+    (framed(view.encode(GOOD)), 5.0, "no whole answer"),  # slow
+    (framed(view.encode(GOOD))[:-4], 0.0, "bytes read"),  # cut short
+    (b"\xff\xff\xff\xff", 0.0, "more than"),  # oversized
+    (framed(b"\x93\x01\x02\x03"), 0.0, "cannot be read"),  # malformed
+    (framed(view.encode(PeerView(2, "n1", 1.8e12, []))), 0.0, "version 2"),  # another release
+])
+def test_a_peer_that_fails_costs_one_line_and_no_more_than_the_bound(answer, delay_s, logged, caplog):
+    with caplog.at_level(logging.WARNING):
+        taken, took_s = played(answer, delay_s)
+    assert taken is None
+    assert took_s < BOUND_S + 1.0, "the start is not held up"
+    [line] = [r.getMessage() for r in caplog.records if r.name == "canvasplank.learning.asking"]
+    assert logged in line and "asked no one" in line
+
+
+def test_an_address_that_refuses(caplog):
+    with caplog.at_level(logging.WARNING):
+        assert asyncio.run(ask(refused_address(), BOUND_S)) is None
+    assert len(caplog.records) == 1
