Learning: the exporting side answers 'view' with the running instance's view

Change: canvasplank/learning/exporting.py, a listener of its own (none is opened where learning is off), 8 connections at once, 1 s for the line, counts of views asked, given and refused. Measured: a loopback test: a wrong line is closed unanswered, 'view' gives the view back whole through the asking side; counts 2 asked, 1 given, 1 refused.

--- /dev/null
+++ b/canvasplank/learning/exporting.py
@@ -0,0 +1,62 @@
+"""The exporting side: a running instance answers a new one's ``view`` with what it has learned.
+
+A listener of its own, for installations where instances may talk; none is opened where the deploy file
+keeps learning off.  The view is made when asked, so that its times are those of the asking.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Callable
+
+from canvasplank.learning.asking import ASK, framed
+from canvasplank.learning.view import PeerView, encode
+from canvasplank.settings import split_address
+
+LOG = logging.getLogger(__name__)
+LINE_WAIT_S = 1.0
+MOST_AT_ONCE = 8  # new instances are few; more at once are closed unanswered
+
+
+class Exporter:
+    """Answers ``view``; anything else, or nothing within a second, ends the connection unanswered."""
+
+    def __init__(self, produce: Callable[[], PeerView]) -> None:
+        self._produce = produce
+        self._server: asyncio.Server | None = None
+        self._at_once = 0
+        self.counts = {"asked": 0, "given": 0, "refused": 0}
+
+    async def listen(self, address: str) -> None:
+        """Open the listener for new instances."""
+        host, port = split_address(address)
+        self._server = await asyncio.start_server(self._serve, host, port, limit=len(ASK) + 64)
+
+    def close(self) -> None:
+        """Listen no more."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._at_once += 1
+        self.counts["asked"] += 1
+        try:
+            async with asyncio.timeout(LINE_WAIT_S):
+                line = await reader.readline()
+            if self._at_once > MOST_AT_ONCE or line != ASK:
+                self.counts["refused"] += 1
+                return
+            writer.write(framed(encode(self._produce())))
+            async with asyncio.timeout(LINE_WAIT_S):
+                await writer.drain()
+            self.counts["given"] += 1
+        except (TimeoutError, ValueError, OSError) as fault:
+            self.counts["refused"] += 1
+            LOG.info("a view was not given: %s", type(fault).__name__)
+        finally:
+            self._at_once -= 1
+            writer.close()
+            with contextlib.suppress(OSError):
+                await writer.wait_closed()
--- a/tests/test_learning_asking.py
+++ b/tests/test_learning_asking.py
@@ -76,3 +76,23 @@
     with caplog.at_level(logging.WARNING):
         assert asyncio.run(ask(refused_address(), BOUND_S)) is None
     assert len(caplog.records) == 1
+
+
+def test_a_running_instance_gives_its_view_when_asked_and_nothing_else():
+    from canvasplank.learning.exporting import Exporter
+
+    async def run() -> tuple[PeerView | None, dict[str, int]]:
+        exporter = Exporter(lambda: GOOD)
+        await exporter.listen("127.0.0.1:0")
+        port = exporter._server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"something else\n")
+        assert await reader.read() == b"", "closed unanswered"
+        writer.close()
+        taken = await ask(f"127.0.0.1:{port}", BOUND_S)
+        exporter.close()
+        return taken, exporter.counts
+
+    taken, counts = asyncio.run(run())
+    assert taken == GOOD
+    assert counts == {"asked": 2, "given": 1, "refused": 1}
