--- a/canvasplank/admin.py
+++ b/canvasplank/admin.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 from typing import Protocol
 
+from canvasplank.closing import close_quietly
 from canvasplank.settings import split_address
 
 LOG = logging.getLogger(__name__)
@@ -88,6 +88,4 @@
             LOG.info("admin connection ended: %s", type(fault).__name__)
         finally:
             self._at_once -= 1
-            writer.close()
-            with contextlib.suppress(OSError):
-                await writer.wait_closed()
+            await close_quietly(writer)
--- a/canvasplank/learning/asking.py
+++ b/canvasplank/learning/asking.py
@@ -9,10 +9,10 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import struct
 
+from canvasplank.closing import close_quietly
 from canvasplank.learning.view import MOST_BYTES, PeerView, ViewError, decode
 from canvasplank.settings import split_address
 
@@ -49,9 +49,7 @@
             raise RefusedError(f"a view of {length} bytes announced, more than {MOST_BYTES}")
         data = await reader.readexactly(length)
     finally:
-        writer.close()
-        with contextlib.suppress(OSError):
-            await writer.wait_closed()
+        await close_quietly(writer)
     try:
         return decode(data)
     except ViewError as fault:
--- a/canvasplank/learning/exporting.py
+++ b/canvasplank/learning/exporting.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 from collections.abc import Callable
 
+from canvasplank.closing import close_quietly
 from canvasplank.learning.asking import ASK, framed
 from canvasplank.learning.view import PeerView, encode
 from canvasplank.settings import split_address
@@ -57,6 +57,4 @@
             LOG.info("a view was not given: %s", type(fault).__name__)
         finally:
             self._at_once -= 1
-            writer.close()
-            with contextlib.suppress(OSError):
-                await writer.wait_closed()
+            await close_quietly(writer)
