Module: tell what it learned of each server, and start from a peer's aged word

Change: Controller.learned() gives id, start, rate, delay, slow, silent and last word per server; a Hinted event (interface) is taken only before any answer or set-up of our own: a rate starts as a cut, a shun as a silence that the first answer ends (exception 'learned start' in design.md). learning.merge turns the module's words into a view and hints into events. Measured: a new gateway told fresh of a silent server sent it 1 set-up in 20 calls over 2 s, 5 without the intake; told 30 s after, as many as one that asked no one; own answers come first.

--- a/canvasplank/interface.py
+++ b/canvasplank/interface.py
@@ -265,7 +265,22 @@
     lines: float
 
 
-Event = ServerList | Call | Established | AttemptEnded | CallerGone | TimerFired | ProbeAnswered | LinesTold
+@dataclass(frozen=True, slots=True)
+class Hinted:
+    """A running peer's aged word on one server, for a new instance's start (``canvasplank.learning``).
+
+    Figures that are ``None`` were not learned, or are too old to count; ``shun``: the peer saw it slow or
+    silent lately.
+    """
+
+    server_id: str
+    rate_per_s: float | None
+    delay_ms: float | None
+    shun: bool
+
+
+Event = (ServerList | Call | Established | AttemptEnded | CallerGone | TimerFired | ProbeAnswered | LinesTold
+         | Hinted)
 
 
 # --------------------------------------------------------------------------------------------------- actions
--- a/canvasplank/learning/merge.py
+++ b/canvasplank/learning/merge.py
@@ -9,7 +9,8 @@
 
 from dataclasses import dataclass
 
-from canvasplank.learning.view import PeerView
+from canvasplank import interface as api
+from canvasplank.learning.view import VERSION, Learned, PeerView
 
 HALF_LIFE_MS = 5_000.0
 MOST_AGE_MS = 60_000.0
@@ -76,3 +77,18 @@
     if fresh is None:
         return learned if trust >= SHUN_WEIGHT else None
     return trust * learned + (1.0 - trust) * fresh
+
+
+ModuleWord = tuple[str, float | None, float | None, float | None, bool, bool, float]  # Controller.learned
+
+
+def exported(peer: str, learned: list[ModuleWord], now_ms: float) -> PeerView:
+    """A running instance's view from what its module has learned (``Controller.learned``)."""
+    servers = [Learned(server_id, started_ms, min(heard_ms, now_ms), rate, delay, slow, silent)
+               for server_id, started_ms, rate, delay, slow, silent, heard_ms in learned]
+    return PeerView(VERSION, peer, now_ms, servers)
+
+
+def told(found: list[Hint]) -> list[api.Hinted]:
+    """The hints as the module hears them."""
+    return [api.Hinted(hint.server_id, hint.rate_per_s, hint.delay_ms, hint.shun) for hint in found]
--- a/canvasplank/policy.py
+++ b/canvasplank/policy.py
@@ -26,6 +26,7 @@
     Established,
     Event,
     Fail,
+    Hinted,
     LinesTold,
     ListKind,
     Log,
@@ -283,6 +284,8 @@
                 self._standing.pop(call_id, None)
             case ProbeAnswered():
                 self._on_probe(event)
+            case Hinted():
+                self._on_hint(event)
             case LinesTold():
                 view = self._servers.get(event.server_id)
                 if view is not None and 0 < event.lines < NEVER:
@@ -291,6 +294,26 @@
                         del self._lines[next(iter(self._lines))]
         return self._actions
 
+    def learned(self) -> list[tuple[str, float | None, float | None, float | None, bool, bool, float]]:
+        """For a new instance: each server's id, start, rate (None: open), delay, slow, silent, last word."""
+        return [(v.server_id, v.started_ms, v.bucket.rate if v.bucket.rate < NEVER else None, v.delay_ms,
+                 v.slow and v.delay_ms is not None, v.silent, v.heard_ms) for v in self._servers.values()]
+
+    def _on_hint(self, hint: Hinted) -> None:
+        """Exception (learned start): a peer's word counts only before any of our own; a rate starts as a
+        cut, a shun as a silence that the first answer ends.  Guards a new gateway against slow servers.
+        """
+        view = self._servers.get(hint.server_id)
+        if view is None or view.answered or view.pending:
+            return
+        if hint.rate_per_s is not None:
+            floor = FLOOR_RATE * self._part(view)
+            view.bucket.rate = min(view.bucket.rate, max(hint.rate_per_s, floor))
+            view.cut_ms = view.quiet_ms = self._now
+        view.delay_ms = hint.delay_ms if view.delay_ms is None else view.delay_ms
+        if hint.shun:
+            self._fall_silent(view, "a running peer saw it so")
+
     def _due(self, at_ms: float) -> None:
         """Look again at this time at the latest.  One timer counts; an earlier one takes its place."""
         if at_ms < self._alarm_ms:
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from canvasplank import interface as api
 from canvasplank.learning import merge, view
 from canvasplank.learning.merge import Listed
 from canvasplank.learning.view import Learned, PeerView, ViewError
@@ -78,3 +79,63 @@
 def test_without_a_fresh_figure_an_old_rate_is_not_kept():
     [hint] = merge.hints(peer_view(seen(age_ms=20_000.0, rate_per_s=7.0)), NOW, [Listed("s-1", None)])
     assert hint.rate_per_s is None and hint.weight == pytest.approx(1 / 16)
+
+
+class TestTheModule:
+    """A running gateway's view, handed to a new one through the wire form, as the module hears it."""
+
+    @staticmethod
+    def running(slowdown_at_ms: float) -> PeerView:
+        """A gateway that saw server a fall silent at that time, with b answering well."""
+        from conftest import Gateway, ready
+
+        peer = Gateway()
+        peer.now = slowdown_at_ms
+        peer.servers(ready("a", 0), ready("b", 1))
+        peer.steady("b", first=1, count=10)
+        peer.alive["b"] = 40  # b goes on answering; a never does
+        for _ in range(6):
+            peer.call(first=0)
+            peer.until(peer.now + 300)
+        return view.decode(view.encode(merge.exported("n1", peer.controller.learned(), peer.now)))
+
+    @staticmethod
+    def joining(seen: PeerView, now_ms: float) -> int:
+        """A new gateway takes the view, then gets 20 calls for pool 0 over 2 s while a is still silent and b
+        answers; how many set-ups went to a."""
+        from conftest import Gateway, ready
+
+        new = Gateway(seed=2)
+        new.now = now_ms
+        new.servers(ready("a", 0), ready("b", 1))
+        listed = [Listed("a", None), Listed("b", None)]
+        for event in merge.told(merge.hints(seen, now_ms, listed, fresh_rate_per_s=None)):
+            new.tell(event)
+        new.alive["b"] = 40
+        for _ in range(20):
+            new.call(first=0)
+            new.until(new.now + 100)
+        return sum(isinstance(a, api.SetUp) and a.server_id == "a" for _, a in new.done)
+
+    def test_the_running_gateway_tells_what_it_saw(self):
+        seen = self.running(0.0)
+        by_id = {entry.instance_id: entry for entry in seen.servers}
+        assert by_id["a"].silent and not by_id["b"].silent
+
+    def test_a_fresh_word_keeps_a_new_gateway_off_a_silent_server(self):
+        seen = self.running(0.0)
+        assert self.joining(seen, seen.taken_ms + 100) <= 2, "trials alone"
+
+    def test_a_word_from_before_the_recovery_30_s_ago_is_not_kept(self):
+        seen = self.running(0.0)
+        alone = self.joining(PeerView(view.VERSION, "none", 0.0, []), seen.taken_ms + 30_000)
+        assert self.joining(seen, seen.taken_ms + 30_000) == alone > 2
+
+    def test_our_own_answers_come_before_a_peer_word(self):
+        from conftest import Gateway, ready, sent_to
+
+        new = Gateway()
+        new.servers(ready("a", 0))
+        new.steady("a", first=0, count=3)
+        new.tell(api.Hinted("a", None, None, shun=True))
+        assert sent_to(new.call(first=0)[1]) == ["a"]
