--- a/canvasplank/__main__.py
+++ b/canvasplank/__main__.py
@@ -16,6 +16,10 @@
 from canvasplank.counters import Counters
 from canvasplank.deadlines import Deadlines, Turns
 from canvasplank.exchange import Exchange
+from canvasplank.learning.asking import ask
+from canvasplank.learning.config import Learning, load_learning
+from canvasplank.learning.exporting import Exporter
+from canvasplank.learning.merge import Listed, exported, hints, told
 from canvasplank.network.board import Board
 from canvasplank.network.callers import Callers
 from canvasplank.network.loop import PipeLoop
@@ -31,6 +35,7 @@
     read_ceilings,
     read_figures,
     read_settings,
+    server_of,
     split_address,
 )
 
@@ -47,14 +52,16 @@
 class Program:
     """One signalling proxy."""
 
-    def __init__(self, configuration: Configuration, read_again: Callable[[], Configuration]) -> None:
+    def __init__(self, configuration: Configuration, read_again: Callable[[], Configuration],
+                 learning: Learning | None = None) -> None:
         self._configuration = configuration
+        self._learning = learning
         self._read_again = read_again
         settings = read_settings(configuration.settings)
         ceilings = read_ceilings(configuration.settings)
         self.counters = Counters()
         self._turns = Turns(Deadlines())
-        controller = Controller(settings, int(configuration.seed, 16))
+        controller = self._controller = Controller(settings, int(configuration.seed, 16))
         memory = configuration.limits.memory_mb * MIB
         self._exchange = Exchange(self._turns, controller.handle, self.counters, ceilings.max_open, memory)
         self._held = Held(memory)
@@ -82,6 +89,8 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._turns.begin()
         self._servers.listed(True, _known_instances(self._configuration.known.notices))
+        if self._learning is not None:
+            await self._learn(self._learning)
         self._board.start()
         await self._callers.listen(*split_address(self._configuration.listen))
         self._listening = True
@@ -92,6 +101,29 @@
         await self._done.wait()
         self._admin.close()
 
+    async def _learn(self, learning: Learning) -> None:
+        """Offer what this instance learns to new ones, and ask a running one once, within the bound."""
+        if learning.listen:
+            name = self._configuration.name
+            exporter = Exporter(lambda: exported(name, self._controller.learned(), self._turns.now_ms))
+            await exporter.listen(learning.listen)
+            LOG.info("views for new instances at %s", learning.listen)
+        if not learning.peer:
+            return
+        self.counters.add("learning.views_asked")
+        seen = await ask(learning.peer, learning.bound_ms / 1000)
+        self._turns.begin()
+        if seen is None:
+            self.counters.add("learning.views_refused")
+            return
+        listed = [Listed(i.instance_id, server_of(i).started_ms)
+                  for i in _known_instances(self._configuration.known.notices)]
+        found = hints(seen, self._turns.now_ms, listed, None, learning.half_life_ms, learning.most_age_ms)
+        self.counters.add("learning.views_taken")
+        self._exchange.hinted(told(found))
+        LOG.info("took a view of %d servers from %s: %d still count", len(seen.servers), learning.peer,
+                 len(found))
+
     # -------------------------------------------------------------------------------- for the operators
 
     def ready(self) -> bool:
@@ -189,8 +221,10 @@
     logging.basicConfig(format="%(asctime)s %(message)s", level=logging.INFO, stream=sys.stderr)
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     try:
+        learning_path = os.environ.get("CANVASPLANK_LEARNING")
+        learning = load_learning(learning_path) if learning_path else None
         with asyncio.Runner(loop_factory=PipeLoop) as runner:
-            runner.run(_serve(_configuration()))
+            runner.run(_serve(_configuration(), learning))
     except (ConfigurationError, api.SettingsError, OSError, ValueError) as fault:
         print(f"canvasplank: {one_line(fault)}", file=sys.stderr)
         return 2
@@ -215,8 +249,8 @@
     return " ".join(str(fault).split())
 
 
-async def _serve(configuration: Configuration) -> None:
-    program = Program(configuration, _configuration)
+async def _serve(configuration: Configuration, learning: Learning | None = None) -> None:
+    program = Program(configuration, _configuration, learning)
     gc.freeze()  # what is made at the start stays: collections need not look at it
     with contextlib.suppress(asyncio.CancelledError):
         await program.run()
--- a/canvasplank/exchange.py
+++ b/canvasplank/exchange.py
@@ -282,6 +282,11 @@
         """News of the list of servers."""
         self._tell(api.ServerList(kind, servers))
 
+    def hinted(self, events: list[api.Hinted]) -> None:
+        """A running peer's aged word on servers, for this instance's start."""
+        for event in events:
+            self._tell(event)
+
     def fail_all(self) -> None:
         """The program ends: whatever is still owed an answer gets one."""
         for call in [c for c in self._open.values() if c.owed]:
--- /dev/null
+++ b/canvasplank/learning/config.py
@@ -0,0 +1,39 @@
+"""The switch and figures of learning from a running instance, from a file of its own (TOML).
+
+The file is named by ``CANVASPLANK_LEARNING``; without it learning is off, as on platforms where instances may
+not talk to each other.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from typing import Annotated
+
+import msgspec
+
+from canvasplank.learning.merge import HALF_LIFE_MS, MOST_AGE_MS
+from canvasplank.settings import ConfigurationError, split_address
+
+Positive = Annotated[float, msgspec.Meta(gt=0, le=3_600_000)]
+
+
+class Learning(msgspec.Struct, forbid_unknown_fields=True):
+    """Whom to ask at the start (``peer``), where to answer others (``listen``), and how age counts."""
+
+    peer: str = ""
+    listen: str = ""
+    bound_ms: Positive = 500.0
+    half_life_ms: Positive = HALF_LIFE_MS
+    most_age_ms: Positive = MOST_AGE_MS
+
+
+def load_learning(path: str) -> Learning:
+    """Read the file; whatever is wrong with it is one line, as a bad configuration."""
+    try:
+        with open(path, "rb") as file:
+            learning = msgspec.convert(tomllib.load(file), Learning)
+        for address in filter(None, (learning.peer, learning.listen)):
+            split_address(address)
+    except (OSError, tomllib.TOMLDecodeError, msgspec.MsgspecError, ValueError) as fault:
+        raise ConfigurationError(f"learning {path}: {' '.join(str(fault).split())}") from None
+    return learning
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -80,11 +80,9 @@
 # From the bottom up: a module imports only what stands before it.
 LAYERS = [
     "interface", "codecs.errors", "codecs.isup", "codecs.sip", "codecs.sse", "counters", "deadlines",
-    "closing",
-    "learning.view", "learning.merge", "policy", "settings", "learning.asking", "learning.exporting",
-    "wirehost", "exchange",
-    "network.loop", "network.stream", "network.connecting", "network.callers", "network.servers",
-    "network.board", "admin", "__main__",
+    "closing", "learning.view", "learning.merge", "policy", "settings", "learning.config", "learning.asking",
+    "learning.exporting", "wirehost", "exchange", "network.loop", "network.stream", "network.connecting",
+    "network.callers", "network.servers", "network.board", "admin", "__main__",
 ]
 
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -27,7 +27,7 @@
 class Proxy:
     """One process of the program on loopback, with the example configuration."""
 
-    def __init__(self, tmp: Path, listen: int, admin: int | None = None) -> None:
+    def __init__(self, tmp: Path, listen: int, admin: int | None = None, learning: str | None = None) -> None:
         configuration = json.loads((ROOT / "examples" / "config.json").read_text())
         configuration["listen"] = f"127.0.0.1:{listen}"
         configuration["board"] = f"127.0.0.1:{free_port()}"  # nobody is there: the board is retried
@@ -36,6 +36,9 @@
         environment = {**os.environ, "EDGE_CONFIG": str(path)}
         if admin is not None:
             environment["EDGE_ADMIN"] = f"127.0.0.1:{admin}"
+        if learning is not None:
+            (tmp / f"learning-{listen}.toml").write_text(learning)
+            environment["CANVASPLANK_LEARNING"] = str(tmp / f"learning-{listen}.toml")
         self.process = subprocess.Popen([sys.executable, "-m", "canvasplank"], cwd=ROOT, env=environment,
                                         stderr=subprocess.PIPE, text=True)
         self.lines: list[str] = []
@@ -116,3 +119,25 @@
     assert lines[0].startswith("200") and lines[-1] == "EOF"
     assert {"edge_in_flight 0", "edge_call_servers_known 1"} <= set(lines)
     assert ask(admin, "reboot")[0].startswith("400")
+
+
+def test_a_new_instance_learns_from_a_running_one(tmp_path, started):
+    """Learning switched on by its own file: the running one answers, the new one takes its view."""
+    view_port = free_port()
+    started.append(old := Proxy(tmp_path, free_port(), learning=f'listen = "127.0.0.1:{view_port}"'))
+    old.wait_for("views for new instances")
+    started.append(new := Proxy(tmp_path, free_port(), learning=f'peer = "127.0.0.1:{view_port}"'))
+    new.wait_for("took a view of 1 servers")
+    new.wait_for("listens on")
+
+
+@pytest.mark.parametrize("learning", ['peer = "127.0.0.1:{port}"', "peer = 'nowhere'", "colour = 'blue'"])
+def test_a_peer_that_refuses_or_a_bad_file(tmp_path, started, learning):
+    """A refused peer is one line and a start as if alone; a file that cannot be used stops the start."""
+    started.append(new := Proxy(tmp_path, free_port(), learning=learning.format(port=free_port())))
+    if "{port}" in learning:
+        new.wait_for("no view taken")
+        new.wait_for("listens on")
+    else:
+        new.wait_for("canvasplank: learning")
+        assert new.process.wait(WAIT_S) == 2
