Import learning only where it is switched on: off, it costs the start nothing

Change: __main__ imports the learning package inside the functions that use it; with CANVASPLANK_LEARNING unset none of it is imported (importtime lists no learning module).

--- a/canvasplank/__main__.py
+++ b/canvasplank/__main__.py
@@ -10,16 +10,13 @@
 import signal
 import sys
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from canvasplank import interface as api
 from canvasplank.admin import Admin
 from canvasplank.counters import Counters
 from canvasplank.deadlines import Deadlines, Turns
 from canvasplank.exchange import Exchange
-from canvasplank.learning.asking import ask
-from canvasplank.learning.config import Learning, load_learning
-from canvasplank.learning.exporting import Exporter
-from canvasplank.learning.merge import Listed, exported, hints, told
 from canvasplank.network.board import Board
 from canvasplank.network.callers import Callers
 from canvasplank.network.loop import PipeLoop
@@ -39,6 +36,9 @@
     split_address,
 )
 
+if TYPE_CHECKING:  # learning is imported only where it is switched on: off, it costs the start nothing
+    from canvasplank.learning.config import Learning
+
 LOG = logging.getLogger(__name__)
 SERVE_ON_MS = 700.0  # after SIGTERM callers may still come for so long
 LONGEST_MS = 3000.0  # a caller's deadline counts as no longer than this when we are to end
@@ -103,6 +103,10 @@
 
     async def _learn(self, learning: Learning) -> None:
         """Offer what this instance learns to new ones, and ask a running one once, within the bound."""
+        from canvasplank.learning.asking import ask
+        from canvasplank.learning.exporting import Exporter
+        from canvasplank.learning.merge import Listed, exported, hints, told
+
         if learning.listen:
             name = self._configuration.name
             exporter = Exporter(lambda: exported(name, self._controller.learned(), self._turns.now_ms))
@@ -222,7 +226,7 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     try:
         learning_path = os.environ.get("CANVASPLANK_LEARNING")
-        learning = load_learning(learning_path) if learning_path else None
+        learning = _learning(learning_path) if learning_path else None
         with asyncio.Runner(loop_factory=PipeLoop) as runner:
             runner.run(_serve(_configuration(), learning))
     except (ConfigurationError, api.SettingsError, OSError, ValueError) as fault:
@@ -231,6 +235,12 @@
     return 0
 
 
+def _learning(path: str) -> Learning:
+    from canvasplank.learning.config import load_learning
+
+    return load_learning(path)
+
+
 def _configuration() -> Configuration:
     configuration = load_configuration(os.environ.get("EDGE_CONFIG", ""))
     configuration.listen = os.environ.get("EDGE_LISTEN", configuration.listen)
