Stand-in call servers, board and open-loop callers, and the learning join played on them

Change: standins/ holds call servers with one processor each, a notice board, callers that come at times drawn ahead and count their wait from when they were due, and proxies started as in service; benchmarks/learning_join plays a new instance joining during a slowdown, having asked a running one or none.

--- /dev/null
+++ b/benchmarks/learning_join.py
@@ -0,0 +1,157 @@
+"""A new instance joins during a slowdown, having asked a running one or no one.
+
+``python -m benchmarks.learning_join [--seeds N] [--at-once N]``
+
+Three call servers, two running instances and callers that come whatever happens.  One server slows, and some
+seconds later a third instance starts and gets its share of the callers.  Each seed is played twice, the new
+instance asking a running one for its view or no one; the table has the service that callers of the new
+instance got in its first 5 s and after them, and beside it that of the running instances at the same times.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import statistics
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import click
+
+from standins.callers import Callers, Try, service
+from standins.fleet import Fleet, fleet, free_port
+from standins.server import CallServer
+
+CAPACITY_PER_S = 20.0
+RUNNING = 2
+WARM_S, SLOW_S, AFTER_S = 8.0, 4.0, 15.0  # until the slowdown, until the join, and watched after it
+FIRST_S = 5.0  # the span within which the new instance is to be steady
+
+
+@dataclass(frozen=True)
+class Played:
+    """One play: service of the new instance's callers and of the others, in its first seconds and later."""
+
+    new_first: float
+    new_later: float
+    old_first: float
+    old_later: float
+    late: int
+    lost: int
+    steady_after_s: float  # the end of its last second that was clearly worse than the running ones'
+
+    @staticmethod
+    def of(tries: list[Try], joined_s: float, new: str) -> Played:
+        """From what became of the calls due after the join."""
+        since = [t for t in tries if t.due_s >= joined_s]
+        first = [t for t in since if t.due_s < joined_s + FIRST_S]
+        later = [t for t in since if t.due_s >= joined_s + FIRST_S]
+
+        def served(some: list[Try], *, by_new: bool) -> float:
+            return service([t for t in some if (t.proxy == new) is by_new])
+
+        mine = [t for t in since if t.proxy == new]
+        return Played(
+            served(first, by_new=True), served(later, by_new=True),
+            served(first, by_new=False), served(later, by_new=False),
+            late=sum(t.outcome == "served" and t.took_s > t.kind.aim_s for t in mine),
+            lost=sum(t.outcome in ("lost", "given_up") for t in mine),
+            steady_after_s=_steady_after(since, joined_s, new))
+
+
+STEADY_SPAN_S, STEADY_LESS = 2.0, 0.15
+
+
+def _steady_after(since: list[Try], joined_s: float, new: str) -> float:
+    """When the new instance's service, over spans of 2 s, was last 0.15 or more under the running ones'."""
+    worst_s = 0.0
+    for number in range(int(AFTER_S - STEADY_SPAN_S) + 1):
+        begin = joined_s + number
+        span = [t for t in since if begin <= t.due_s < begin + STEADY_SPAN_S]
+        mine, others = ([t for t in span if (t.proxy == new) is by_new] for by_new in (True, False))
+        if mine and others and service(mine) < service(others) - STEADY_LESS:
+            worst_s = number + STEADY_SPAN_S
+    return worst_s
+
+
+async def _start_running(world: Fleet, seed: int, view: str) -> list[str]:
+    path = world.folder / "running.toml"
+    path.write_text(f'listen = "{view}"\n')
+    first = await world.proxy("n0", seed * 10, CANVASPLANK_LEARNING=str(path))
+    rest = [await world.proxy(f"n{n}", seed * 10 + n) for n in range(1, RUNNING)]
+    return [first.address, *(proxy.address for proxy in rest)]
+
+
+async def play(seed: int, ask: bool, rate_per_s: float, slow: float, mend_s: float | None) -> Played:
+    """One play; with ``mend_s`` the slowdown ends so long before the join."""
+    servers = [CallServer(f"s-{n}", CAPACITY_PER_S, hold_ms=2000.0) for n in range(3)]
+    with tempfile.TemporaryDirectory() as folder:
+        async with fleet(Path(folder), servers, RUNNING + 1) as world:
+            view = f"127.0.0.1:{free_port()}"
+            callers = Callers(seed, pools=len(servers))
+            for address in await _start_running(world, seed, view):
+                await callers.add_proxy(address)
+            total_s = WARM_S + SLOW_S + (mend_s or 0.0) + AFTER_S + 2.0
+            load = asyncio.ensure_future(callers.offer(rate_per_s, total_s))
+            await asyncio.sleep(WARM_S)
+            servers[seed % 3].speed = 1.0 / slow
+            await asyncio.sleep(SLOW_S)
+            if mend_s is not None:
+                servers[seed % 3].speed = 1.0
+                await asyncio.sleep(mend_s)
+            joining = Path(folder) / "joining.toml"
+            joining.write_text(f'peer = "{view}"\n')
+            more = {"CANVASPLANK_LEARNING": str(joining)} if ask else {}
+            new = await world.proxy("new", seed * 10 + 9, **more)
+            await callers.add_proxy(new.address)
+            joined_s = time.time()
+            await load
+            await callers.settled(5.0)
+            played = Played.of([t for t in callers.tries.values() if t.due_s < joined_s + AFTER_S], joined_s,
+                               new.address)
+            await callers.stop()
+            return played
+
+
+async def _all(plays: list[tuple[int, bool]], at_once: int, rate: float, slow: float,
+               mend_s: float | None) -> list[Played]:
+    gate = asyncio.Semaphore(at_once)
+
+    async def one(seed: int, ask: bool) -> Played:
+        async with gate:
+            return await play(seed, ask, rate, slow, mend_s)
+
+    return await asyncio.gather(*(one(*each) for each in plays))
+
+
+@click.command()
+@click.option("--seeds", default=6, help="Worlds played, each with asking and without.")
+@click.option("--at-once", default=4, help="Plays side by side.")
+@click.option("--rate", default=45.0, help="Calls a second in all.")
+@click.option("--slow", default=3.8, help="How many times slower one server gets.")
+@click.option("--mend", type=float, default=None, help="End the slowdown so many seconds before the join.")
+def main(seeds: int, at_once: int, rate: float, slow: float, mend: float | None) -> None:
+    """Play and print the table."""
+    plays = [(seed, ask) for seed in range(1, seeds + 1) for ask in (False, True)]
+    with contextlib.suppress(KeyboardInterrupt):
+        results = dict(zip(plays, asyncio.run(_all(plays, at_once, rate, slow, mend)), strict=True))
+        print("| seed | asked | new, first 5 s | new, later | running, first 5 s | running, later "
+              "| late | lost | steady after |")
+        print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+        for (seed, ask), p in results.items():
+            whom = "a running one" if ask else "no one"
+            print(f"| {seed} | {whom} | {p.new_first:.3f} | {p.new_later:.3f} | {p.old_first:.3f} "
+                  f"| {p.old_later:.3f} | {p.late} | {p.lost} | {p.steady_after_s:.0f} s |")
+        for ask in (False, True):
+            some = [p for (_, asked), p in results.items() if asked is ask]
+            first, later = (statistics.mean(each) for each in zip(
+                *((p.new_first, p.new_later) for p in some), strict=True))
+            print(f"mean, {'asked' if ask else 'alone'}: first 5 s {first:.3f}, later {later:.3f}, "
+                  f"late {sum(p.late for p in some)}, "
+                  f"steady after at most {max(p.steady_after_s for p in some):.0f} s")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/board.py
@@ -0,0 +1,64 @@
+"""A stand-in notice board: server-sent events on loopback, a comment each second, news when told."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+
+COMMENT_EVERY_S = 0.5
+
+
+class Board:
+    """Holds its numbered events; whoever polls gets what came after its last, then what follows."""
+
+    def __init__(self) -> None:
+        self._events: list[dict] = []
+        self._news = asyncio.Condition()
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()  # asyncio made them
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def tell(self, pool: dict) -> None:
+        """A new event: ``pool`` as in the protocol."""
+        async with self._news:
+            self._events.append({"rev": len(self._events) + 1, "pool": pool})
+            self._news.notify_all()
+
+    def known(self) -> dict:
+        """The events so far, as a configuration holds them."""
+        return {"rev": len(self._events), "notices": list(self._events)}
+
+    async def stop(self) -> None:
+        """End everything."""
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._tasks.add(task := asyncio.current_task())
+        task.add_done_callback(self._tasks.discard)
+        # A handler that is cancelled at the end is no error for asyncio to print.
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+            last = next((int(line.partition(":")[2]) for line in head.splitlines()
+                         if line.startswith("last-event-id:")), 0)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+            while not writer.is_closing():
+                for event in self._events[last:]:
+                    writer.write(f"id: {event['rev']}\ndata: {json.dumps(event)}\n\n".encode())
+                last = len(self._events)
+                writer.write(b":\n\n")
+                await writer.drain()
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(COMMENT_EVERY_S), self._news:
+                        await self._news.wait_for(lambda: len(self._events) > last)  # noqa: B023
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,118 @@
+"""Proxies as they are started in service, beside stand-in call servers and a stand-in board."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from pathlib import Path
+
+from standins.board import Board
+from standins.server import CallServer
+
+ROOT = Path(__file__).parent.parent
+WAIT_S = 20.0
+
+
+def free_port() -> int:
+    """A port that nobody uses now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+@dataclass
+class Proxy:
+    """One process of the program."""
+
+    address: str
+    process: asyncio.subprocess.Process
+    log: Path
+
+    def text(self) -> str:
+        """Its log so far."""
+        return self.log.read_text()
+
+    async def prints(self, words: str) -> None:
+        """Wait until its log says so."""
+        async with asyncio.timeout(WAIT_S):
+            while words not in self.text():
+                if self.process.returncode is not None:
+                    raise AssertionError(f"ended with {self.process.returncode}: {self.text()}")
+                await asyncio.sleep(0.02)
+
+    async def stop(self, how: signal.Signals = signal.SIGTERM) -> int:
+        """Signal it and wait for its end."""
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(how)
+        return await self.process.wait()
+
+
+class Fleet:
+    """Call servers, a board and proxies."""
+
+    def __init__(self, folder: Path, servers: list[CallServer], instances: int) -> None:
+        self.folder, self.servers, self.instances = folder, servers, instances
+        self.board = Board()
+        self.proxies: list[Proxy] = []
+
+    async def start(self) -> None:
+        """Start the servers and the board; proxies come with ``proxy``."""
+        for server in self.servers:
+            await server.start()
+        await self.board.start()
+        entries = [{"instanceId": server.name, "hostPort": server.address, "zone": "here",
+                    "machineType": "std", "cell": cell, "lifecycle": "ready", "weight": 1, "startedAtMs": 0}
+                   for cell, server in enumerate(self.servers)]
+        await self.board.tell({"generation": 1, "reset": True, "instances": entries})
+
+    def _configuration(self, name: str, address: str, seed: int) -> dict:
+        example = json.loads((ROOT / "examples" / "config.json").read_text())
+        pools = list(range(len(self.servers)))
+        holds = [server.hold_ms for server in self.servers]
+        family = example["settings"]["family_info"] | {
+            "skilled_pools": [pools, pools], "class_hold_ms": [sum(holds) / len(holds)] * 2}
+        settings = example["settings"] | {"instances": self.instances, "family_info": family}
+        return example | {"name": name, "listen": address, "seed": f"{seed:016x}",
+                          "board": self.board.address, "known": self.board.known(), "settings": settings}
+
+    async def proxy(self, name: str, seed: int, **environment: str) -> Proxy:
+        """Start one and wait until it listens."""
+        address = f"127.0.0.1:{free_port()}"
+        path, log = self.folder / f"{name}.json", self.folder / f"{name}.log"
+        path.write_text(json.dumps(self._configuration(name, address, seed)))
+        inherited = {k: v for k, v in os.environ.items() if not k.startswith(("EDGE_", "CANVASPLANK_"))}
+        with log.open("wb") as out:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "canvasplank", cwd=ROOT, stdout=out, stderr=out,
+                env=inherited | {"EDGE_CONFIG": str(path)} | environment)
+        proxy = Proxy(address, process, log)
+        self.proxies.append(proxy)
+        await proxy.prints(" listens on ")
+        return proxy
+
+    async def stop(self) -> None:
+        """End everything."""
+        for proxy in self.proxies:
+            if proxy.process.returncode is None:
+                await proxy.stop(signal.SIGKILL)
+        await self.board.stop()
+        for server in self.servers:
+            await server.stop()
+
+
+@contextlib.asynccontextmanager
+async def fleet(folder: Path, servers: list[CallServer], instances: int) -> AsyncIterator[Fleet]:
+    """A fleet that ends with the block."""
+    made = Fleet(folder, servers, instances)
+    await made.start()
+    try:
+        yield made
+    finally:
+        await made.stop()
