Learning: a silence is as fresh as its last trial, an old delay is not kept

The view dated a server's word by the last thing the server said, so the longer a server had been silent, the less its silence was believed, though the peer tries it every few seconds. And a usual delay was taken at any age up to 60 s; four times it is how long a silence must last, 8 s for a server that was slow when the peer last heard it.

--- a/canvasplank/learning/merge.py
+++ b/canvasplank/learning/merge.py
@@ -51,7 +51,8 @@
     Guards against a view of servers since gone or restarted (their figures were of another process), against
     a peer whose clock runs ahead (all its figures would pass for fresh), and against shunning a server that
     has recovered since: a shun lapses with its weight, and a rate is drawn toward the fresh start by what the
-    weight lacks, so that a slowdown seen 30 s ago counts for almost nothing.
+    weight lacks, so that a slowdown seen 30 s ago counts for almost nothing.  So does a delay, which tells
+    how long a silence must last: guards against a server that was slow then being waited for now.
     """
     if view.taken_ms > now_ms + CLOCK_SLACK_MS:
         return []
@@ -65,7 +66,8 @@
         if trust <= 0.0:
             continue
         found.append(Hint(learned.instance_id, trust, _blend(learned.rate_per_s, fresh_rate_per_s, trust),
-                          learned.delay_ms, (learned.slow or learned.silent) and trust >= SHUN_WEIGHT))
+                          learned.delay_ms if trust >= SHUN_WEIGHT else None,
+                          (learned.slow or learned.silent) and trust >= SHUN_WEIGHT))
     return found
 
 
--- a/canvasplank/policy.py
+++ b/canvasplank/policy.py
@@ -149,6 +149,7 @@
         self.restarted_ms = -1.0  # when the list told of a restart
         self.silent = False
         self.silent_ms = now_ms  # since when
+        self.tried_ms = now_ms  # when the last set-up went there: so fresh is our word of a silence
         self.trial_ms = now_ms
         self.trial_times = TRIAL_TIMES
         self.logged_ms = -NEVER
@@ -297,7 +298,9 @@
     def learned(self) -> list[tuple[str, float | None, float | None, float | None, bool, bool, float]]:
         """For a new instance: each server's id, start, rate (None: open), delay, slow, silent, last word."""
         return [(v.server_id, v.started_ms, v.bucket.rate if v.bucket.rate < NEVER else None, v.delay_ms,
-                 v.slow and v.delay_ms is not None, v.silent, v.heard_ms) for v in self._servers.values()]
+                 v.slow and v.delay_ms is not None, v.silent,
+                 max(v.heard_ms, v.silent_ms, v.tried_ms) if v.silent else v.heard_ms)
+                for v in self._servers.values()]
 
     def _on_hint(self, hint: Hinted) -> None:
         """Exception (learned start): a peer's word counts only before any of our own; a rate starts as a
@@ -781,7 +784,7 @@
         self._settle(view)
         view.cold.add()
         view.bucket.add()
-        view.pending[call.call.id] = now
+        view.pending[call.call.id] = view.tried_ms = now
         call.server = view
         call.attempts += 1
         self._actions.append(SetUp(call.call.id, view.server_id, left_ms))
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -56,6 +56,13 @@
     assert hint.rate_per_s == pytest.approx(50.0 - 48.0 / 64)
 
 
+@pytest.mark.parametrize(("age_ms", "kept"), [(4_000.0, 2_000.0), (20_000.0, None)])
+def test_an_old_delay_is_not_kept(age_ms, kept):
+    """It sets how long a server may say nothing: 8 s for one that took 2 s when a peer last heard it."""
+    [hint] = merge.hints(peer_view(seen(age_ms=age_ms, delay_ms=2_000.0)), NOW, [Listed("s-1", None)])
+    assert hint.delay_ms == kept
+
+
 def test_a_fresh_slowdown_is_taken():
     [hint] = merge.hints(peer_view(seen(age_ms=500.0, rate_per_s=2.0, slow=True)), NOW, [Listed("s-1", None)],
                          fresh_rate_per_s=50.0)
@@ -126,6 +133,20 @@
         seen = self.running(0.0)
         assert self.joining(seen, seen.taken_ms + 100) <= 2, "trials alone"
 
+    def test_a_long_silence_is_told_as_fresh_as_its_last_trial(self):
+        """It was told as old as the server's last word, so that the longest silences were not believed."""
+        from conftest import Gateway, ready
+
+        peer = Gateway()
+        peer.servers(ready("a", 0), ready("b", 1))
+        peer.alive["b"] = 40
+        while peer.now < 30_000:
+            peer.call(first=0)
+            peer.until(peer.now + 250)
+        [seen] = [s for s in merge.exported("n1", peer.controller.learned(), peer.now).servers
+                  if s.instance_id == "a"]
+        assert seen.silent and peer.now - seen.learned_ms < 5_000
+
     def test_a_word_from_before_the_recovery_30_s_ago_is_not_kept(self):
         seen = self.running(0.0)
         alone = self.joining(PeerView(view.VERSION, "none", 0.0, []), seen.taken_ms + 30_000)
