Store of record: call outcomes written behind the calls to SQLite or PostgreSQL

Change: canvasplank/store/: a pure outbox (bounded queue, one batch out, later rows of a call joined, pauses that double, refused batches halved until the bad record is alone), SQLite on a thread of its own and PostgreSQL through asyncpg behind one interface, numbered migrations, an upsert on call id, instance and time taken, a writer task, and an operators' command line (summary, check). The exchange tells a Recorder of each call's answer and end; set-ups that no server can use are turned away through it too. Off unless CANVASPLANK_STORE names a file like deploy/store.toml; then nothing of it is imported. standins/postgresql speaks protocol 3.0 over an SQLite file and can stall, drop a connection before or after a commit, refuse a value and restart. Measured: every call has exactly one record with the answer its caller saw, through a stall, a lost commit, a lost answer and a restart (tests); the tests fail with the batch not put back, the order of rows turned round, the upsert's condition or the second row taken out.

--- a/canvasplank/__main__.py
+++ b/canvasplank/__main__.py
@@ -36,8 +36,10 @@
     split_address,
 )
 
-if TYPE_CHECKING:  # learning is imported only where it is switched on: off, it costs the start nothing
+if TYPE_CHECKING:  # what is switched on by a file of its own is imported only then: off, it costs nothing
     from canvasplank.learning.config import Learning
+    from canvasplank.store.config import Store
+    from canvasplank.store.writer import Writer
 
 LOG = logging.getLogger(__name__)
 SERVE_ON_MS = 700.0  # after SIGTERM callers may still come for so long
@@ -45,6 +47,7 @@
 MIB = 2**20
 AT_START = ("name", "listen", "admin", "settings")  # what holds from the next start on when it has changed
 LEAVE_EARLY_MS = 300.0  # whatever is open so long before somebody may kill us is failed
+KILLED_EARLY_MS = 100.0  # and all is to be done so long before it
 LOOK_MS = 20.0
 FLUSH_MS = 200.0  # for the last bytes to leave
 
@@ -53,7 +56,7 @@
     """One signalling proxy."""
 
     def __init__(self, configuration: Configuration, read_again: Callable[[], Configuration],
-                 learning: Learning | None = None) -> None:
+                 learning: Learning | None = None, store: Store | None = None) -> None:
         self._configuration = configuration
         self._learning = learning
         self._read_again = read_again
@@ -79,6 +82,18 @@
         self._done = asyncio.Event()
         self._listening = False
         self._admin = Admin(self)
+        self._store, self._writer = store, None if store is None else self._recorder(store)
+
+    def _recorder(self, store: Store) -> Writer:
+        from canvasplank.store.outbox import Outbox
+        from canvasplank.store.writer import Writer
+
+        seed = int(self._configuration.seed, 16)
+        outbox = Outbox(store.queue_most, store.batch_most, store.linger_ms, seed)
+        writer = Writer(outbox, store.open_with(), self._configuration.name, store.write_timeout_ms / 1000,
+                        self.counters)
+        self._exchange.recorder = writer
+        return writer
 
     async def run(self) -> None:
         """Serve until told to stop."""
@@ -89,6 +104,8 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._turns.begin()
         self._servers.listed(True, _known_instances(self._configuration.known.notices))
+        if self._writer is not None:
+            self._writer.start()
         if self._learning is not None:
             await self._learn(self._learning)
         self._board.start()
@@ -100,6 +117,14 @@
             LOG.info("the operators' address is %s", self._configuration.admin)
         await self._done.wait()
         self._admin.close()
+        if self._writer is not None:
+            await self._writer.drain(self._drain_s())
+
+    def _drain_s(self) -> float:
+        """What may be spent on records at the end: before somebody may kill us, and no longer than is set."""
+        self._turns.begin()
+        left_ms = self._leave_ms + LEAVE_EARLY_MS - KILLED_EARLY_MS - (self._turns.now_ms - self._closing_ms)
+        return min(self._store.drain_ms, left_ms) / 1000
 
     async def _learn(self, learning: Learning) -> None:
         """Offer what this instance learns to new ones, and ask a running one once, within the bound."""
@@ -151,6 +176,8 @@
 
     def print_counters(self) -> None:
         """For the operators."""
+        if self._writer is not None:
+            self._writer.count()
         for line in self.counters.lines():
             print(line, file=sys.stderr, flush=True)
 
@@ -227,8 +254,10 @@
     try:
         learning_path = os.environ.get("CANVASPLANK_LEARNING")
         learning = _learning(learning_path) if learning_path else None
+        store_path = os.environ.get("CANVASPLANK_STORE")
+        store = _load_store(store_path) if store_path else None
         with asyncio.Runner(loop_factory=PipeLoop) as runner:
-            runner.run(_serve(_configuration(), learning))
+            runner.run(_serve(_configuration(), learning, store))
     except (ConfigurationError, api.SettingsError, OSError, ValueError) as fault:
         print(f"canvasplank: {one_line(fault)}", file=sys.stderr)
         return 2
@@ -241,6 +270,12 @@
     return load_learning(path)
 
 
+def _load_store(path: str) -> Store:
+    from canvasplank.store.config import load_store
+
+    return load_store(path)
+
+
 def _configuration() -> Configuration:
     configuration = load_configuration(os.environ.get("EDGE_CONFIG", ""))
     configuration.listen = os.environ.get("EDGE_LISTEN", configuration.listen)
@@ -259,8 +294,8 @@
     return " ".join(str(fault).split())
 
 
-async def _serve(configuration: Configuration, learning: Learning | None = None) -> None:
-    program = Program(configuration, _configuration, learning)
+async def _serve(configuration: Configuration, learning: Learning | None, store: Store | None) -> None:
+    program = Program(configuration, _configuration, learning, store)
     gc.freeze()  # what is made at the start stays: collections need not look at it
     with contextlib.suppress(asyncio.CancelledError):
         await program.run()
--- a/canvasplank/counters.py
+++ b/canvasplank/counters.py
@@ -18,6 +18,10 @@
         """Count something; names are ``group.what``."""
         self._counts[name] += more
 
+    def set(self, name: str, value: int) -> None:
+        """Have a count that is kept elsewhere show here."""
+        self._counts[name] = value
+
     def by_class(self, figure: str, class_name: str) -> None:
         """Count a request's end, or an attempt, for its class: one of ``CLASS_FIGURES``."""
         self._by_class[figure, class_name] += 1
--- a/canvasplank/exchange.py
+++ b/canvasplank/exchange.py
@@ -67,6 +67,16 @@
         """Ask a server for its load."""
 
 
+class Recorder(Protocol):
+    """Who keeps calls' outcomes, where somebody does; what it is told must cost no wait."""
+
+    def answered(self, call: CallRecord, final: str, now_ms: float) -> None:
+        """A call got its final answer, or its caller gave it up."""
+
+    def over(self, call: CallRecord, outcome: api.Outcome, now_ms: float) -> None:
+        """A call that stood has ended."""
+
+
 @dataclass(slots=True)
 class Attempt:
     """The one set-up of a call that is out."""
@@ -89,7 +99,9 @@
     gives_up_ms: float
     description: bytes
     origin: Hashable
+    taken_ms: float = 0.0
     attempts: int = 0
+    tried: str | None = None  # the server of its latest attempt
     out: Attempt | None = None
     owed: bool = True
     stands_at: str | None = None  # the server, once the call stands
@@ -111,6 +123,7 @@
         self.counters = counters
         self.callers: CallerSide
         self.servers: ServerSide
+        self.recorder: Recorder | None = None
         self.closing = False
         self._decide = controller
         self._most_open = most_open
@@ -141,6 +154,7 @@
     def offer(self, call: CallRecord) -> bool:
         """A caller's set-up; False: its id belongs to another call, and this one is not taken."""
         self.counters.add("taken.set_ups")
+        call.taken_ms = self.turns.now_ms
         known = self._open.get(call.id) or self._standing.get(call.id)
         if known is not None:
             # A set-up resent on a new connection is the same call, with one answer.  Guards against handing a
@@ -155,8 +169,7 @@
         if len(self._open) >= self._most_open or held_bytes > self._most_held_bytes:
             # Guards the memory that this machine has by its configuration, be it 32 or 192 MB.
             self.counters.add("answered.over_capacity")
-            self.counters.by_class("refused", call.class_name)
-            self.callers.reject(call.origin, call.id, Final.REFUSED, None)
+            self._turn_away(call, Final.REFUSED)
             return True
         self._open[call.id] = call
         self._held_bytes += len(call.description)
@@ -165,6 +178,17 @@
                             number=call.number, was_cut=call.was_cut))
         return True
 
+    def invalid(self, call: CallRecord) -> None:
+        """A set-up that no server can use: the edge's own to turn away."""
+        self.counters.add("answered.invalid")
+        call.taken_ms = self.turns.now_ms
+        self._turn_away(call, Final.INVALID)
+
+    def _turn_away(self, call: CallRecord, final: Final) -> None:
+        """Answer a call that was never entered in the table."""
+        self._count_final(call, final)
+        self.callers.reject(call.origin, call.id, final, None)
+
     def give_up(self, call_id: str, cause: int) -> None:
         """A release from a caller: of a set-up that it gives up, or of a call that stands."""
         call = self._open.get(call_id)
@@ -193,6 +217,8 @@
             return
         self.counters.add("taken.given_up")
         call.owed = False
+        if self.recorder is not None:
+            self.recorder.answered(call, "given_up", self.turns.now_ms)
         self._tell(api.CallerGone(call.id))
         if call.out is not None:
             self._end_attempt(call, api.Outcome.CANCELLED, cancel=True)
@@ -227,6 +253,8 @@
         self._standing[call_id] = call
         self.counters.add("answered.stands")
         self.counters.by_class("served", call.class_name)
+        if self.recorder is not None:
+            self.recorder.answered(call, "served", self.turns.now_ms)
         self.callers.answer(call.origin, call_id, description)
         self._tell(api.Established(call_id, out.number, server_id, self.turns.now_ms - out.sent_ms))
 
@@ -343,6 +371,7 @@
             return
         out = call.out = Attempt(call.attempts, server_id, self.turns.now_ms)
         call.attempts += 1
+        call.tried = server_id
         out.deadline = self.turns.after(timeout_ms, lambda: self._timed_out(call, out))
         self.counters.add("sent.set_ups")
         self.servers.set_up(server_id, call, out.number, timeout_ms)
@@ -364,11 +393,16 @@
     def _reject(self, call: CallRecord, final: Final, retry_after_ms: float | None) -> None:
         call.owed = False
         self.counters.add(f"answered.{final.value}")
-        self.counters.by_class("refused" if final is Final.REFUSED else "failed", call.class_name)
+        self._count_final(call, final)
         self.callers.reject(call.origin, call.id, final, retry_after_ms)
         if call.out is None:
             self._close(call)
 
+    def _count_final(self, call: CallRecord, final: Final) -> None:
+        self.counters.by_class("refused" if final is Final.REFUSED else "failed", call.class_name)
+        if self.recorder is not None:
+            self.recorder.answered(call, final.value, self.turns.now_ms)
+
     def _end_attempt(self, call: CallRecord, outcome: api.Outcome, *, cancel: bool = False,
                      processor_full: bool = False) -> None:
         out, call.out = call.out, None
@@ -394,6 +428,8 @@
     def _end_standing(self, call: CallRecord, outcome: api.Outcome) -> None:
         del self._standing[call.id]
         self._remember(call.id)
+        if self.recorder is not None:
+            self.recorder.over(call, outcome, self.turns.now_ms)
         self.counters.add(f"ended.{outcome.name.lower()}")
         self._tell(api.AttemptEnded(call.id, call.attempts - 1, call.stands_at, outcome, finished=True))
 
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -263,9 +263,7 @@
         new = call.id not in stream.open
         if new and (call.class_name not in self._figures.classes or not self._possible(message)):
             # Guards the servers' work, and other callers' set-ups, against what no server can use.
-            self.exchange.counters.add("answered.invalid")
-            self.exchange.counters.by_class("failed", call.class_name)
-            self.reject(stream, call.id, Final.INVALID, None)
+            self.exchange.invalid(call)
             return
         stream.open.add(call.id)
         if not self.exchange.offer(call):
--- /dev/null
+++ b/canvasplank/store/config.py
@@ -0,0 +1,55 @@
+"""Which store, and its figures, from a file of its own (TOML) named by ``CANVASPLANK_STORE``."""
+
+from __future__ import annotations
+
+import tomllib
+from typing import Annotated, Literal
+from urllib.parse import urlsplit
+
+import msgspec
+
+from canvasplank.settings import ConfigurationError
+from canvasplank.store.backend import Backend
+
+Milliseconds = Annotated[float, msgspec.Meta(gt=0, le=60_000)]
+SCHEMES = ("postgresql", "postgres")
+
+
+class Store(msgspec.Struct, forbid_unknown_fields=True):
+    """The store of record."""
+
+    backend: Literal["sqlite", "postgresql"]
+    path: str = ""  # sqlite: the file
+    dsn: str = ""  # postgresql: postgresql://user@host:port/database; the password comes from PGPASSWORD
+    queue_most: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 20_000
+    batch_most: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 500
+    linger_ms: Annotated[float, msgspec.Meta(ge=0, le=60_000)] = 50.0
+    write_timeout_ms: Milliseconds = 2_000.0
+    drain_ms: Milliseconds = 1_500.0
+
+    def open_with(self) -> Backend:
+        """The backend, not yet opened.  Only the driver that is configured is imported."""
+        if self.backend == "sqlite":
+            from canvasplank.store.sqlite import Sqlite
+
+            return Sqlite(self.path)
+        from canvasplank.store.postgresql import Postgresql
+
+        return Postgresql(self.dsn, self.write_timeout_ms / 1000)
+
+
+def load_store(path: str) -> Store:
+    """Read the file; whatever is wrong with it is one line, as a bad configuration."""
+    try:
+        with open(path, "rb") as file:
+            store = msgspec.convert(tomllib.load(file), Store)
+        if store.backend == "sqlite" and not store.path:
+            raise ValueError("backend sqlite needs a path")
+        if store.backend == "postgresql":
+            where = urlsplit(store.dsn)
+            if where.scheme not in SCHEMES or not where.hostname or not where.path.strip("/"):
+                raise ValueError("backend postgresql needs a dsn like postgresql://user@host:5432/database")
+            _ = where.port  # raises where it is no port
+    except (OSError, tomllib.TOMLDecodeError, msgspec.MsgspecError, ValueError) as fault:
+        raise ConfigurationError(f"store {path}: {' '.join(str(fault).split())}") from None
+    return store
--- /dev/null
+++ b/standins/postgresql.py
@@ -0,0 +1,323 @@
+"""A stand-in PostgreSQL: the frontend/backend protocol 3.0 as far as asyncpg uses it, over an SQLite file.
+
+Written from the protocol's public specification (PostgreSQL manual, chapter "Frontend/Backend Protocol").  It
+runs the statements it is sent, commits at Sync as the original does outside a transaction block, and fails on
+request: slow, stalled, dropped before or after a commit, refusing connections, restarted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import re
+import sqlite3
+import struct
+from dataclasses import dataclass, field
+from pathlib import Path
+
+SSL_REQUEST, CANCEL_REQUEST, PROTOCOL_3 = 80877103, 80877102, 196608
+TEXT, BIGINT, INTEGER = 25, 20, 23
+TYPES = {"text": TEXT, "bigint": BIGINT, "integer": INTEGER}
+CAST = re.compile(r"CAST\(\$(\d+) AS (\w+)\)")
+PARAMETERS = {"server_version": "16.0", "client_encoding": "UTF8", "server_encoding": "UTF8",
+              "standard_conforming_strings": "on", "integer_datetimes": "on", "TimeZone": "UTC"}
+SQLSTATES = {sqlite3.IntegrityError: "23505"}
+
+
+def message(kind: bytes, body: bytes = b"") -> bytes:
+    """A backend message: its type, the length that counts itself, the body."""
+    return kind + struct.pack(">I", len(body) + 4) + body
+
+
+def text(value: str) -> bytes:
+    """A string as the protocol writes it."""
+    return value.encode() + b"\0"
+
+
+class Reader:
+    """Takes one message's body apart."""
+
+    def __init__(self, data: bytes) -> None:
+        self.data, self.at = data, 0
+
+    def string(self) -> str:
+        """Up to the next zero byte."""
+        end = self.data.index(b"\0", self.at)
+        value, self.at = self.data[self.at:end].decode(), end + 1
+        return value
+
+    def number(self, form: str) -> int:
+        """One number of a struct format."""
+        [value] = struct.unpack_from(f">{form}", self.data, self.at)
+        self.at += struct.calcsize(f">{form}")
+        return value
+
+    def numbers(self, form: str) -> list[int]:
+        """A count of two bytes, and so many numbers."""
+        return [self.number(form) for _ in range(self.number("h"))]
+
+    def value(self) -> bytes | None:
+        """A length and so many bytes; -1 is NULL."""
+        length = self.number("i")
+        if length < 0:
+            return None
+        self.at += length
+        return self.data[self.at - length:self.at]
+
+
+@dataclass
+class Statement:
+    """A prepared statement."""
+
+    sql: str
+    types: list[int]
+
+    @staticmethod
+    def of(sql: str) -> Statement:
+        """With its parameters' types, which its casts tell."""
+        found = {int(number): TYPES[name] for number, name in CAST.findall(sql)}
+        return Statement(sql, [found[number] for number in sorted(found)])
+
+    def values(self, raw: list[bytes | None]) -> list[str | int | None]:
+        """Parameters from their binary form."""
+        return [None if data is None else data.decode() if kind == TEXT else int.from_bytes(data, signed=True)
+                for kind, data in zip(self.types, raw, strict=True)]
+
+
+@dataclass
+class Faults:
+    """What is to go wrong; everything may be changed while it runs."""
+
+    delay_s: float = 0.0  # before each Sync is carried out
+    drop_before_commit: int = 0  # so many commits are lost with their connections
+    drop_after_commit: int = 0  # so many are made, and the connection ends before the client hears of it
+    refuse_rows: set[str] = field(default_factory=set)  # rows holding one of these values: SQLSTATE 22
+    stalled: bool = False
+
+
+class Session:
+    """One client."""
+
+    def __init__(self, server: PostgresqlStandIn, reader: asyncio.StreamReader,
+                 writer: asyncio.StreamWriter) -> None:
+        self.server, self.reader, self.writer = server, reader, writer
+        self.database = server.connect()
+        self.statements: dict[str, Statement] = {}
+        self.bound: tuple[Statement, list] | None = None
+        self.failed = False  # the rest up to Sync is passed over
+        self.block = False  # within BEGIN and COMMIT
+        self.out = bytearray()
+
+    async def run(self) -> None:
+        """Until the client goes."""
+        if not await self._start():
+            return
+        while True:
+            kind = await self.reader.readexactly(1)
+            [length] = struct.unpack(">I", await self.reader.readexactly(4))
+            body = Reader(await self.reader.readexactly(length - 4))
+            await self.server.breathe()
+            if kind == b"X":
+                return
+            if self.failed and kind not in (b"S", b"Q"):
+                continue
+            try:
+                await self._take(kind, body)
+            except (sqlite3.Error, ValueError) as fault:
+                self._error(fault)
+                if kind == b"Q":
+                    self._ready()
+            if kind in (b"S", b"Q", b"H"):
+                self.writer.write(bytes(self.out))
+                self.out.clear()
+                await self.writer.drain()
+
+    async def _start(self) -> bool:
+        while True:
+            [length] = struct.unpack(">I", await self.reader.readexactly(4))
+            body = Reader(await self.reader.readexactly(length - 4))
+            code = body.number("I")
+            if code == SSL_REQUEST:
+                self.writer.write(b"N")
+            elif code == PROTOCOL_3:
+                break
+            else:
+                return False  # a cancel request, or nothing of ours
+        await self.server.breathe()
+        self.out += message(b"R", struct.pack(">I", 0))
+        for name, value in PARAMETERS.items():
+            self.out += message(b"S", text(name) + text(value))
+        self.out += message(b"K", struct.pack(">II", 1, 1))
+        self._ready()
+        self.writer.write(bytes(self.out))
+        self.out.clear()
+        return True
+
+    def _ready(self) -> None:
+        self.out += message(b"Z", b"T" if self.block else b"I")
+
+    def _error(self, fault: Exception) -> None:
+        self.failed = True
+        state = SQLSTATES.get(type(fault), "22000" if isinstance(fault, ValueError) else "42000")
+        fields = {b"S": "ERROR", b"V": "ERROR", b"C": state, b"M": str(fault)}
+        self.out += message(b"E", b"".join(code + text(value) for code, value in fields.items()) + b"\0")
+
+    async def _take(self, kind: bytes, body: Reader) -> None:
+        match kind:
+            case b"Q":
+                self._simple(body.string())
+            case b"P":
+                name, sql = body.string(), body.string()
+                self.statements[name] = Statement.of(sql)
+                self.out += message(b"1")
+            case b"D":
+                self._describe(chr(body.number("b")), body.string())
+            case b"B":
+                body.string()
+                statement = self.statements[body.string()]
+                body.numbers("h")
+                raw = [body.value() for _ in range(body.number("h"))]
+                self.bound = statement, statement.values(raw)
+                self.out += message(b"2")
+            case b"E":
+                self._execute(*self.bound)
+            case b"C":
+                self.out += message(b"3")
+            case b"S":
+                await self._sync()
+
+    def _simple(self, sql: str) -> None:
+        word = sql.split()[0].upper().rstrip(";")
+        if word == "BEGIN":
+            self.block = True
+            self.database.execute("BEGIN IMMEDIATE")
+        elif word in ("COMMIT", "ROLLBACK"):
+            self.block = False
+            self.database.execute(word)
+        else:
+            rows = self.database.execute(sql).fetchall()
+            for row in rows:
+                self._row(row)
+        self.out += message(b"C", text(word))
+        self._ready()
+
+    def _describe(self, what: str, name: str) -> None:
+        if what == "S":
+            types = self.statements[name].types
+            self.out += message(b"t", struct.pack(f">h{len(types)}I", len(types), *types))
+            sql = self.statements[name].sql
+        else:
+            sql = self.bound[0].sql
+        if not sql.upper().startswith("SELECT"):
+            self.out += message(b"n")
+            return
+        probe = self.database.execute(f"SELECT * FROM ({sql.replace('$', '?')}) LIMIT 0",
+                                      [None] * len(Statement.of(sql).types))
+        columns = [column[0] for column in probe.description]
+        parts = [text(name) + struct.pack(">IhIhih", 0, 0, TEXT, -1, -1, 0) for name in columns]
+        self.out += message(b"T", struct.pack(">h", len(columns)) + b"".join(parts))
+
+    def _row(self, row: tuple) -> None:
+        parts = [struct.pack(">i", -1) if value is None
+                 else struct.pack(">i", len(str(value).encode())) + str(value).encode() for value in row]
+        self.out += message(b"D", struct.pack(">h", len(row)) + b"".join(parts))
+
+    def _execute(self, statement: Statement, values: list) -> None:
+        if not self.database.in_transaction:
+            self.database.execute("BEGIN IMMEDIATE")
+        if self.server.faults.refuse_rows & set(values):
+            raise ValueError("a value that this database does not take")
+        cursor = self.database.execute(statement.sql.replace("$", "?"), values)
+        rows = cursor.fetchall()
+        for row in rows:
+            self._row(row)
+        word = statement.sql.split()[0].upper()
+        tag = f"INSERT 0 {cursor.rowcount}" if word == "INSERT" else f"{word} {len(rows)}"
+        self.out += message(b"C", text(tag))
+
+    async def _sync(self) -> None:
+        faults = self.server.faults
+        if faults.delay_s:
+            await asyncio.sleep(faults.delay_s)
+        if self.failed:
+            self.failed = False
+            if self.database.in_transaction and not self.block:
+                self.database.execute("ROLLBACK")
+        elif self.database.in_transaction and not self.block:
+            if faults.drop_before_commit > 0:
+                faults.drop_before_commit -= 1
+                raise ConnectionAbortedError
+            self.database.execute("COMMIT")
+            self.server.commits += 1
+            if faults.drop_after_commit > 0:
+                faults.drop_after_commit -= 1
+                raise ConnectionAbortedError
+        self._ready()
+
+
+class PostgresqlStandIn:
+    """The server; its data outlives its restarts."""
+
+    def __init__(self, folder: Path) -> None:
+        self.faults = Faults()
+        self.commits = 0
+        self.sessions = 0
+        self._path = folder / "standin.db"
+        self._port = 0
+        self._server: asyncio.Server | None = None
+        self._tasks: dict[asyncio.Task, asyncio.StreamWriter] = {}
+
+    async def start(self) -> None:
+        """Listen; after a stop at the same address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
+        self._port = self._server.sockets[0].getsockname()[1]
+
+    @property
+    def dsn(self) -> str:
+        """How a client names it."""
+        return f"postgresql://canvasplank@127.0.0.1:{self._port}/outcomes"
+
+    def connect(self) -> sqlite3.Connection:
+        """A connection to the data, with the functions that the statements use."""
+        database = sqlite3.connect(self._path, timeout=1.0, isolation_level=None)
+        database.execute("PRAGMA journal_mode = WAL")
+        database.execute("PRAGMA synchronous = OFF")
+        database.create_function("pg_advisory_xact_lock", 1, lambda _: None)
+        return database
+
+    def rows(self, sql: str) -> list[tuple]:
+        """What the data holds now."""
+        with contextlib.closing(self.connect()) as database:
+            return database.execute(sql).fetchall()
+
+    async def breathe(self) -> None:
+        """Hold everything while stalled."""
+        while self.faults.stalled:
+            await asyncio.sleep(0.01)
+
+    async def stop(self) -> None:
+        """End at once: what is not committed is lost, connections are reset."""
+        self._server.close()
+        for task, writer in list(self._tasks.items()):
+            writer.transport.abort()
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def restart(self, away_s: float = 0.0) -> None:
+        """Stop, and start again after a while."""
+        await self.stop()
+        await asyncio.sleep(away_s)
+        await self.start()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._tasks[task := asyncio.current_task()] = writer
+        task.add_done_callback(lambda done: self._tasks.pop(done, None))
+        self.sessions += 1
+        session = Session(self, reader, writer)
+        try:
+            await session.run()
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            session.database.close()  # what was not committed is rolled back
+            writer.close()
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -81,7 +81,9 @@
 LAYERS = [
     "interface", "codecs.errors", "codecs.isup", "codecs.sip", "codecs.sse", "counters", "deadlines",
     "closing", "learning.view", "learning.merge", "policy", "settings", "learning.config", "learning.asking",
-    "learning.exporting", "wirehost", "exchange", "network.loop", "network.stream", "network.connecting",
+    "learning.exporting", "wirehost", "exchange", "store.records", "store.outbox", "store.schema",
+    "store.backend", "store.sqlite", "store.postgresql", "store.config", "store.writer", "store.__main__",
+    "network.loop", "network.stream", "network.connecting",
     "network.callers", "network.servers", "network.board", "admin", "__main__",
 ]
 
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,337 @@
+"""Both stores behind the one writer: SQLite on a file, PostgreSQL's driver against the stand-in server."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import sqlite3
+import time
+
+import pytest
+from click.testing import CliRunner
+
+from canvasplank import interface as api
+from canvasplank.counters import Counters
+from canvasplank.exchange import CallRecord
+from canvasplank.settings import ConfigurationError
+from canvasplank.store import schema
+from canvasplank.store.__main__ import cli
+from canvasplank.store.backend import Count, StoreUnavailableError
+from canvasplank.store.config import load_store
+from canvasplank.store.outbox import Outbox
+from canvasplank.store.postgresql import Postgresql
+from canvasplank.store.records import ANSWERED, OVER, Outcome
+from canvasplank.store.sqlite import Sqlite
+from canvasplank.store.writer import LOG_EVERY_S, Writer
+from standins.callers import Callers
+from standins.fleet import fleet, free_port
+from standins.postgresql import PostgresqlStandIn
+from standins.server import CallServer
+
+WAIT_S = 20.0  # bounds every wait; none depends on speed
+ALL = f"SELECT {', '.join(schema.COLUMNS)} FROM call_outcome ORDER BY call_id, taken_ms"
+
+
+def record(number: int, version: int = ANSWERED, **more) -> Outcome:
+    return Outcome(f"{number:016x}", "n0", 1_800_000_000_000 + number, "low", "served", "s-1", 1,
+                   1_800_000_000_040 + number, version=version, **more)
+
+
+class OnSqlite:
+    """The file, and what a test may do to it."""
+
+    def __init__(self, folder):
+        self.path = folder / "outcomes.db"
+        self.backend = Sqlite(str(self.path))
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *_):
+        await self.backend.close()
+
+    def rows(self) -> list[tuple]:
+        with contextlib.closing(sqlite3.connect(self.path)) as database:
+            return database.execute(ALL).fetchall()
+
+
+class OnPostgresql:
+    """The stand-in server, and a driver's connection to it."""
+
+    def __init__(self, folder):
+        self.server = PostgresqlStandIn(folder)
+
+    async def __aenter__(self):
+        await self.server.start()
+        self.backend = Postgresql(self.server.dsn, 5.0)
+        return self
+
+    async def __aexit__(self, *_):
+        await self.backend.close()
+        await self.server.stop()
+
+    def rows(self) -> list[tuple]:
+        return self.server.rows(ALL)
+
+
+def writer(backend, write_s: float = 5.0, queue_most: int = 10_000) -> tuple[Writer, Outbox]:
+    outbox = Outbox(queue_most, 50, 0.0)
+    return Writer(outbox, backend, "n0", write_s, Counters()), outbox
+
+
+async def written(outbox: Outbox) -> None:
+    async with asyncio.timeout(WAIT_S):
+        while len(outbox):
+            await asyncio.sleep(0.01)
+
+
+def call(number: int) -> CallRecord:
+    return CallRecord(f"{number:016x}", "low", "7f", 0, False, 0.0, b"d", None, attempts=1,
+                      taken_ms=1_800_000_000_000.0 + number, tried="s-1")
+
+
+@pytest.mark.parametrize("store", [OnSqlite, OnPostgresql])
+def test_rows_are_written_once_and_never_give_way_to_earlier_ones(store, tmp_path):
+    async def run():
+        async with store(tmp_path) as used:
+            await used.backend.open()
+            await used.backend.write([record(1), record(2)])
+            await used.backend.write([record(2, OVER, ended_ms=1_800_000_009_000, ending="ended"), record(3)])
+            await used.backend.write([record(2), record(1)])  # again, after an answer that was lost
+            await used.backend.close()
+            await used.backend.open()  # the tables are there already
+            assert await used.backend.count(0, "") == [Count("low", "served", None, 2),
+                                                       Count("low", "served", "ended", 1)]
+            assert await used.backend.count(0, "n1") == []
+            assert await used.backend.count(1_800_000_000_003, "n0") == [Count("low", "served", None, 1)]
+            return used.rows()
+
+    assert asyncio.run(run()) == [schema.row(record(1)),
+                                  schema.row(record(2, OVER, ended_ms=1_800_000_009_000, ending="ended")),
+                                  schema.row(record(3))]
+
+
+@pytest.mark.parametrize("store", [OnSqlite, OnPostgresql])
+def test_tables_newer_than_the_program_are_left_alone(store, tmp_path):
+    async def run():
+        async with store(tmp_path) as used:
+            await used.backend.open()
+            await used.backend.close()
+            path = getattr(used, "path", None) or used.server._path
+            with contextlib.closing(sqlite3.connect(path)) as database:
+                database.execute("INSERT INTO schema_version VALUES (99)")
+                database.commit()
+            with pytest.raises(StoreUnavailableError, match="version 99, newer"):
+                await used.backend.open()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("fault", ["before", "after", "restart", "stall", "away"])
+def test_nothing_is_lost_or_written_twice_whatever_the_store_does(fault, tmp_path, caplog):
+    """A commit lost, or made and its answer lost; a restart; a stall past the bound; no server at all."""
+
+    async def run():
+        async with OnPostgresql(tmp_path) as used:
+            server, (made, outbox) = used.server, writer(used.backend, write_s=0.3)
+            if fault == "away":
+                await server.stop()
+            made.start()
+            made.answered(call(0), "served", 1_800_000_000_040.0)
+            if fault != "away":
+                await written(outbox)
+            server.faults.drop_before_commit = 2 * (fault == "before")
+            server.faults.drop_after_commit = 2 * (fault == "after")
+            server.faults.stalled = fault == "stall"
+            for number in range(1, 200):
+                made.answered(call(number), "served", 1_800_000_000_040.0 + number)
+                if number == 100 and fault == "restart":
+                    await server.restart()
+                if number % 50 == 0:
+                    await asyncio.sleep(0.02)
+            if fault in ("stall", "away"):
+                async with asyncio.timeout(WAIT_S):
+                    while not outbox.counts["retried"]:
+                        await asyncio.sleep(0.01)
+            server.faults.stalled = False
+            if fault == "away":
+                await server.start()
+            await written(outbox)
+            await made.drain(WAIT_S)
+            return used.rows(), outbox.counts
+
+    rows, counts = asyncio.run(run())
+    assert rows == [schema.row(record(number)) for number in range(200)]
+    assert counts["dropped"] == counts["rejected"] == 0
+    if fault != "restart":  # a restart may fall between two writes
+        assert counts["retried"] > 0 and any("not written" in r.getMessage() for r in caplog.records)
+
+
+def test_a_value_that_the_store_refuses_costs_its_own_record_alone(tmp_path, caplog):
+    async def run():
+        async with OnPostgresql(tmp_path) as used:
+            used.server.faults.refuse_rows = {f"{7:016x}"}
+            made, outbox = writer(used.backend)
+            for number in range(40):
+                made.answered(call(number), "served", 1_800_000_000_040.0 + number)
+            made.start()
+            await written(outbox)
+            await made.drain(WAIT_S)
+            return used.rows()
+
+    assert [row[0] for row in asyncio.run(run())] == [f"{n:016x}" for n in range(40) if n != 7]
+    assert any("0000000000000007" in r.getMessage() and "left out" in r.getMessage() for r in caplog.records)
+
+
+def test_another_writer_s_lock_on_the_file_is_waited_out(tmp_path):
+    async def run():
+        async with OnSqlite(tmp_path) as used:
+            await used.backend.open()
+            other = sqlite3.connect(used.path, isolation_level=None)
+            other.execute("BEGIN IMMEDIATE")
+            made, outbox = writer(used.backend, write_s=0.1)
+            made.start()
+            made.answered(call(1), "served", 1_800_000_000_041.0)
+            async with asyncio.timeout(WAIT_S):
+                while not outbox.counts["retried"]:
+                    await asyncio.sleep(0.01)
+            other.execute("ROLLBACK")
+            other.close()
+            await written(outbox)
+            await made.drain(WAIT_S)
+            return used.rows()
+
+    assert asyncio.run(run()) == [schema.row(record(1))]
+
+
+def test_what_is_not_written_by_the_end_is_told(tmp_path, caplog):
+    async def run():
+        made, _ = writer(Sqlite(str(tmp_path / "no" / "such" / "folder.db")), queue_most=3)
+        made.start()
+        for number in range(5):
+            made.over(call(number), api.Outcome.RESET, 1_800_000_000_050.0)
+        await made.drain(0.3)
+
+    asyncio.run(run())
+    said = [r.getMessage() for r in caplog.records]
+    assert sum("the queue is full (3 records)" in line for line in said) == 1, "one line, not one a record"
+    assert any("3 records were not written before the end" in line for line in said)
+
+
+@pytest.mark.parametrize(("text", "says"), [
+    ("", "backend"),
+    ('backend = "oracle"', "oracle"),
+    ('backend = "sqlite"', "needs a path"),
+    ('backend = "postgresql"', "needs a dsn"),
+    ('backend = "postgresql"\ndsn = "postgresql://u@h:port/d"', "ort"),
+    ('backend = "sqlite"\npath = "x"\nqueue_most = 0', "queue_most"),
+    ('backend = "sqlite"\npath = "x"\ncolour = 1', "colour"),
+    ("backend = ", "nvalid value"),
+])
+def test_a_bad_setting_is_one_line(tmp_path, text, says):
+    (tmp_path / "store.toml").write_text(text)
+    with pytest.raises(ConfigurationError, match=says) as fault:
+        load_store(str(tmp_path / "store.toml"))
+    assert "\n" not in str(fault.value)
+
+
+def test_the_command_line_sums_up_and_checks(tmp_path):
+    path, settings = tmp_path / "outcomes.db", tmp_path / "store.toml"
+    settings.write_text(f'backend = "sqlite"\npath = "{path}"\n')
+
+    async def fill():
+        backend = Sqlite(str(path))
+        await backend.open()
+        await backend.write([record(1), record(2, OVER, ended_ms=1_800_000_009_000, ending="cut")])
+        await backend.close()
+
+    asyncio.run(fill())
+    run = CliRunner()
+    summed = run.invoke(cli, ["summary", "--store", str(settings), "--since", "2020-01-01"])
+    assert summed.output.splitlines() == ["low\tserved\tstands or unknown\t1", "low\tserved\tcut\t1"]
+    for served, status in ((2, 0), (3, 1)):
+        figures = f'200 counters\nedge_served{{class="low"}} {served}\nEOF\n'
+        checked = run.invoke(cli, ["check", "--store", str(settings), "--instance", "n0"], input=figures)
+        assert checked.exit_code == status and ("DIFFER" in checked.output) is bool(status)
+    settings.write_text('backend = "sqlite"\npath = "/nowhere/at/all.db"\n')
+    failed = run.invoke(cli, ["summary", "--store", str(settings)])
+    assert failed.exit_code == 1 and "unable to open" in failed.output
+
+
+async def _served(folder, servers: int, rate: float, for_s: float, store: str, trouble=None):
+    """The program with a store, stand-in servers and callers: what the callers got, and its log."""
+    (folder / "store.toml").write_text(store)
+    called = [CallServer(f"s-{n}", 200.0, hold_ms=300.0) for n in range(servers)]
+    async with fleet(folder, called, 1) as world:
+        proxy = await world.proxy("n0", 7, CANVASPLANK_STORE=str(folder / "store.toml"))
+        callers = Callers(1, pools=servers)
+        await callers.add_proxy(proxy.address)
+        load = asyncio.ensure_future(callers.offer(rate, for_s))
+        if trouble is not None:
+            await trouble()
+        await load
+        await callers.settled(WAIT_S)
+        async with asyncio.timeout(WAIT_S):
+            while any(t.outcome == "served" and t.released_s is None for t in callers.tries.values()):
+                await asyncio.sleep(0.02)
+        await callers.stop()
+        assert await proxy.stop() == 0, proxy.text()
+        return callers.tries, proxy.text()
+
+
+def matched(tries, rows) -> None:
+    """Exactly one record a call, each with the class and answer that its caller saw."""
+    by_id = {row[0]: dict(zip(schema.COLUMNS, row, strict=True)) for row in rows}
+    assert len(rows) == len(by_id) == len(tries) > 50
+    for made in tries.values():
+        kept = by_id[made.id]
+        assert (kept["class_name"], kept["final"], kept["instance"]) == (made.kind.name, made.outcome, "n0")
+        assert kept["ending"] == ("ended" if made.outcome == "served" else None)
+        assert kept["taken_ms"] <= kept["answered_ms"]
+
+
+def test_every_call_has_one_record_in_a_file(tmp_path):
+    path = tmp_path / "outcomes.db"
+    tries, _ = asyncio.run(_served(tmp_path, 2, 80.0, 2.0, f'backend = "sqlite"\npath = "{path}"\n'))
+    with contextlib.closing(sqlite3.connect(path)) as database:
+        matched(tries, database.execute(ALL).fetchall())
+
+
+def test_every_call_has_one_record_through_a_stall_and_a_restart_of_the_store(tmp_path):
+    async def run():
+        server = PostgresqlStandIn(tmp_path)
+        await server.start()
+
+        async def trouble():
+            await asyncio.sleep(0.4)
+            server.faults.stalled = True
+            await asyncio.sleep(0.8)
+            server.faults.stalled = False
+            server.faults.drop_after_commit = 1
+            await asyncio.sleep(0.3)
+            await server.restart(0.2)
+
+        text = f'backend = "postgresql"\ndsn = "{server.dsn}"\nwrite_timeout_ms = 300\n'
+        tries, log = await _served(tmp_path, 2, 80.0, 2.5, text, trouble)
+        await server.stop()
+        return tries, log, server.rows(ALL)
+
+    tries, log, rows = asyncio.run(run())
+    matched(tries, rows)
+    assert "store: not written" in log and "store: written again" in log and "dropped" not in log
+
+
+def test_a_store_that_cannot_be_had_is_one_line_and_the_calls_are_served(tmp_path):
+    text = f'backend = "postgresql"\ndsn = "postgresql://u@127.0.0.1:{free_port()}/d"\nqueue_most = 20\n'
+    began = time.monotonic()
+    tries, log = asyncio.run(_served(tmp_path, 1, 60.0, 1.0, text))
+    most = 1 + (time.monotonic() - began) // LOG_EVERY_S  # one line, and one more every 5 s
+    assert {made.outcome for made in tries.values()} == {"served"}
+    assert 1 <= log.count("store: not written") <= most and 1 <= log.count("the queue is full") <= most
+    assert "records were not written before the end" in log
+    assert "counters store:" in log
+
+
+def test_a_bad_store_setting_stops_the_start(tmp_path):
+    with pytest.raises(AssertionError, match=r"ended with 2: canvasplank: store .*needs a path"):
+        asyncio.run(_served(tmp_path, 1, 1.0, 0.1, 'backend = "sqlite"'))
--- /dev/null
+++ b/tests/test_store_outbox.py
@@ -0,0 +1,129 @@
+"""The queue before the store, without any input or output: nothing lost, nothing twice, all accounted for."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from canvasplank.store.outbox import BACKOFF_MOST_MS, Outbox
+from canvasplank.store.records import ANSWERED, OVER, Outcome
+
+
+def record(number: int, version: int = ANSWERED) -> Outcome:
+    return Outcome(f"{number:016x}", "n0", 1000 + number, "low", "served", "s-1", 1, 1040, version=version)
+
+
+def outbox(queue_most: int = 100, batch_most: int = 10, linger_ms: float = 50.0) -> Outbox:
+    return Outbox(queue_most, batch_most, linger_ms)
+
+
+def test_a_batch_goes_when_it_is_full_or_has_lingered():
+    box = outbox()
+    assert box.wait_ms(0) is None
+    box.put(record(1), 0)
+    assert box.wait_ms(20) == 30 and box.take(20) == []
+    assert box.take(50) == [record(1)]
+    assert box.wait_ms(60) is None, "one batch at a time"
+    box.written()
+    for number in range(12):
+        box.put(record(number), 100)
+    assert len(box.take(100)) == 10
+
+
+def test_the_later_row_of_a_call_takes_the_place_of_the_queued_one_also_when_full():
+    box = outbox(queue_most=2)
+    assert box.put(record(1), 0) and box.put(record(2), 0)
+    assert not box.put(record(3), 0) and box.counts["dropped"] == 1
+    assert box.put(record(1, OVER), 0)
+    assert box.take(50) == [record(1, OVER), record(2)]
+
+
+def test_a_failed_batch_goes_again_first_and_gives_way_to_later_rows():
+    box = outbox()
+    box.put(record(1), 0)
+    box.put(record(2), 0)
+    box.take(50)
+    box.put(record(3), 60)
+    box.put(record(1, OVER), 60)  # while its first row is out
+    box.failed(70)
+    assert box.take(70) == [], "not before the pause"
+    assert box.take(1000) == [record(1, OVER), record(2), record(3)]
+
+
+def test_pauses_double_up_to_a_bound_and_end_with_a_write():
+    box = outbox(linger_ms=0)
+    box.put(record(1), 0)
+    now, pauses = 0.0, []
+    for _ in range(12):
+        assert box.take(now)
+        box.failed(now)
+        pauses.append(box.wait_ms(now))
+        now += pauses[-1]
+    assert pauses[0] <= 100 and pauses[5] > pauses[0] and max(pauses) <= BACKOFF_MOST_MS
+    box.take(now)
+    box.written()
+    box.put(record(2), now)
+    assert box.wait_ms(now) == 0
+
+
+def test_one_bad_record_is_found_by_halving_and_left_out_alone():
+    box = outbox(batch_most=16, linger_ms=0)
+    for number in range(16):
+        box.put(record(number), 0)
+    written, tries, bad = [], 0, None
+    while len(box) and tries < 40:
+        tries += 1
+        batch = box.take(0)
+        if record(11) in batch:
+            bad = box.refused(0) or bad
+        else:
+            written += batch
+            box.written()
+    assert bad == record(11) and tries < 20
+    assert sorted(written, key=lambda r: r.call_id) == [record(n) for n in range(16) if n != 11]
+
+
+@given(st.lists(st.sampled_from(["put", "over", "take", "written", "failed", "refused"]), max_size=80),
+       st.integers(0, 9))
+def test_whatever_happens_every_record_is_accounted_for(steps, seed):
+    """The store is a dictionary by key; at the end it holds the last row of every call that was taken in."""
+    box, chance = outbox(queue_most=12, batch_most=4, linger_ms=0), random.Random(seed)
+    taken, store, rejected, now, batch = {}, {}, set(), 0.0, []
+    for number, step in enumerate([*steps, *["take", "written"] * 100]):
+        now += 6000
+        if step in ("put", "over"):
+            known = [key for key in taken if key not in rejected]
+            again = step == "over" and known
+            new = record(int(chance.choice(known)[0], 16), OVER) if again else record(number)
+            if box.put(new, now):
+                taken[new.key] = max(new, taken.get(new.key, new), key=lambda r: r.version)
+        elif step == "take" and not batch:
+            batch = box.take(now)
+        elif batch and step != "take":
+            if step == "written" or (step == "failed" and chance.random() < 0.5):  # written, answer lost
+                for each in batch:
+                    if store.get(each.key, each).version <= each.version:
+                        store[each.key] = each
+            if step == "refused":
+                bad = box.refused(now)
+                rejected |= {bad.key} if bad else set()
+            else:
+                box.written() if step == "written" else box.failed(now)
+            batch = []
+        counts = box.counts
+        assert counts["queued"] == len(box) + counts["written"] + counts["rejected"] + counts["superseded"]
+        assert len(box) <= 12
+    assert not len(box)
+    assert {k: v for k, v in store.items() if k not in rejected} == {
+        k: v for k, v in taken.items() if k not in rejected}
+
+
+@pytest.mark.parametrize("closing", [False, True])
+def test_at_the_end_nothing_lingers(closing):
+    box = outbox()
+    box.put(record(1), 0)
+    box.closing = closing
+    assert (box.take(0) == [record(1)]) is closing
