Learning: hand over a rate and a shun that rest on more than one late answer

Ruled out: the rates themselves, which seldom bind (peer's 8/s and more where 5/s is asked for). Change: slow is a usual answer as long as waiting does harm; no delay is handed over; a hint is no cut.

--- a/canvasplank/interface.py
+++ b/canvasplank/interface.py
@@ -269,13 +269,12 @@
 class Hinted:
     """A running peer's aged word on one server, for a new instance's start (``canvasplank.learning``).
 
-    Figures that are ``None`` were not learned, or are too old to count; ``shun``: the peer saw it slow or
+    A rate that is ``None`` was not learned, or is too old to count; ``shun``: the peer saw it slow or
     silent lately.
     """
 
     server_id: str
     rate_per_s: float | None
-    delay_ms: float | None
     shun: bool
 
 
--- a/canvasplank/learning/merge.py
+++ b/canvasplank/learning/merge.py
@@ -25,7 +25,6 @@
     server_id: str
     weight: float
     rate_per_s: float | None  # None: start as one that asked no one
-    delay_ms: float | None
     shun: bool
 
 
@@ -51,8 +50,7 @@
     Guards against a view of servers since gone or restarted (their figures were of another process), against
     a peer whose clock runs ahead (all its figures would pass for fresh), and against shunning a server that
     has recovered since: a shun lapses with its weight, and a rate is drawn toward the fresh start by what the
-    weight lacks, so that a slowdown seen 30 s ago counts for almost nothing.  So does a delay, which tells
-    how long a silence must last: guards against a server that was slow then being waited for now.
+    weight lacks, so that a slowdown seen 30 s ago counts for almost nothing.
     """
     if view.taken_ms > now_ms + CLOCK_SLACK_MS:
         return []
@@ -66,7 +64,6 @@
         if trust <= 0.0:
             continue
         found.append(Hint(learned.instance_id, trust, _blend(learned.rate_per_s, fresh_rate_per_s, trust),
-                          learned.delay_ms if trust >= SHUN_WEIGHT else None,
                           (learned.slow or learned.silent) and trust >= SHUN_WEIGHT))
     return found
 
@@ -81,16 +78,16 @@
     return trust * learned + (1.0 - trust) * fresh
 
 
-ModuleWord = tuple[str, float | None, float | None, float | None, bool, bool, float]  # Controller.learned
+ModuleWord = tuple[str, float | None, float | None, bool, bool, float]  # Controller.learned
 
 
 def exported(peer: str, learned: list[ModuleWord], now_ms: float) -> PeerView:
     """A running instance's view from what its module has learned (``Controller.learned``)."""
-    servers = [Learned(server_id, started_ms, min(heard_ms, now_ms), rate, delay, slow, silent)
-               for server_id, started_ms, rate, delay, slow, silent, heard_ms in learned]
+    servers = [Learned(server_id, started_ms, min(heard_ms, now_ms), rate, slow, silent)
+               for server_id, started_ms, rate, slow, silent, heard_ms in learned]
     return PeerView(VERSION, peer, now_ms, servers)
 
 
 def told(found: list[Hint]) -> list[api.Hinted]:
     """The hints as the module hears them."""
-    return [api.Hinted(hint.server_id, hint.rate_per_s, hint.delay_ms, hint.shun) for hint in found]
+    return [api.Hinted(hint.server_id, hint.rate_per_s, hint.shun) for hint in found]
--- a/canvasplank/learning/view.py
+++ b/canvasplank/learning/view.py
@@ -32,8 +32,7 @@
     started_ms: Finite | None  # the start of the server process that was seen, as the list told it
     learned_ms: Finite
     rate_per_s: Finite | None = None  # set-ups a second it took after its last 'processor full'
-    delay_ms: Finite | None = None  # its usual answer delay
-    slow: bool = False  # its answers came late
+    slow: bool = False  # its usual answer took as long as waiting does harm
     silent: bool = False  # it had stopped answering
 
 
--- a/canvasplank/policy.py
+++ b/canvasplank/policy.py
@@ -295,10 +295,13 @@
                         del self._lines[next(iter(self._lines))]
         return self._actions
 
-    def learned(self) -> list[tuple[str, float | None, float | None, float | None, bool, bool, float]]:
-        """For a new instance: each server's id, start, rate (None: open), delay, slow, silent, last word."""
-        return [(v.server_id, v.started_ms, v.bucket.rate if v.bucket.rate < NEVER else None, v.delay_ms,
-                 v.slow and v.delay_ms is not None, v.silent,
+    def learned(self) -> list[tuple[str, float | None, float | None, bool, bool, float]]:
+        """For a new instance: each server's id, start, rate (None: open), slow, silent, last word.
+
+        Slow is one whose usual answer takes as long as waiting does harm; a single late one tells little.
+        """
+        return [(v.server_id, v.started_ms, v.bucket.rate if v.bucket.rate < NEVER else None,
+                 (v.delay_ms or 0.0) >= self._silent_ms, v.silent,
                  max(v.heard_ms, v.silent_ms, v.tried_ms) if v.silent else v.heard_ms)
                 for v in self._servers.values()]
 
@@ -312,8 +315,7 @@
         if hint.rate_per_s is not None:
             floor = FLOOR_RATE * self._part(view)
             view.bucket.rate = min(view.bucket.rate, max(hint.rate_per_s, floor))
-            view.cut_ms = view.quiet_ms = self._now
-        view.delay_ms = hint.delay_ms if view.delay_ms is None else view.delay_ms
+            view.quiet_ms = self._now
         if hint.shun:
             self._fall_silent(view, "a running peer saw it so")
 
--- a/standins/server.py
+++ b/standins/server.py
@@ -104,7 +104,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         parser = sip.Parser()
         self._tasks.keep(self._tell(writer))
-        with contextlib.suppress(OSError):
+        with contextlib.suppress(OSError, asyncio.CancelledError):  # cancelled at the end: no error to print
             while data := await reader.read(16_384):
                 for message in parser.feed(data):
                     self._take(writer, message)
