--- a/benchmarks/store_latency.py
+++ b/benchmarks/store_latency.py
@@ -12,6 +12,7 @@
 import asyncio
 import sqlite3
 import statistics
+import sys
 import tempfile
 from collections.abc import Awaitable, Callable
 from contextlib import closing
@@ -21,8 +22,8 @@
 import click
 
 from standins.callers import Callers, Try
-from standins.fleet import fleet
-from standins.postgresql import PostgresqlStandIn
+from standins.fleet import ROOT, fleet
+from standins.postgresql import DATA
 from standins.server import CallServer
 
 FOR_S, TROUBLE_AT_S, TROUBLE_S = 12.0, 3.0, 5.0
@@ -56,33 +57,49 @@
     wrong: int  # calls without a record, or with another class or answer than their caller got
 
 
-async def _nothing(_: PostgresqlStandIn) -> None:
+class Database:
+    """The stand-in in a process of its own: in this one, its work would show in the callers' times."""
+
+    async def start(self, folder: Path) -> str:
+        """Start it; gives its DSN."""
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "standins.postgresql", str(folder), cwd=ROOT,
+            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE)
+        return (await self._process.stdout.readline()).decode().strip()
+
+    def tell(self, command: str) -> None:
+        """Have something go wrong there, or right again."""
+        self._process.stdin.write(f"{command}\n".encode())
+
+    async def stop(self) -> None:
+        """End it."""
+        self._process.stdin.close()
+        await self._process.wait()
+
+
+async def _nothing(_: Database) -> None:
     pass
 
 
-async def _stall(server: PostgresqlStandIn) -> None:
+async def _stall(database: Database) -> None:
     await asyncio.sleep(TROUBLE_AT_S)
-    server.faults.stalled = True
+    database.tell("stalled 1")
     await asyncio.sleep(TROUBLE_S)
-    server.faults.stalled = False
+    database.tell("stalled 0")
 
 
-async def _drop(server: PostgresqlStandIn) -> None:
-    for turn in range(int(FOR_S)):
-        if turn % 2:
-            server.faults.drop_after_commit += 1
-        else:
-            server.faults.drop_before_commit += 1
+async def _drop(database: Database) -> None:
+    for turn in range(int(FOR_S) - 1):
+        database.tell("drop_after_commit 1" if turn % 2 else "drop_before_commit 1")
         await asyncio.sleep(1.0)
-    server.faults.drop_before_commit = server.faults.drop_after_commit = 0
 
 
-async def _away(server: PostgresqlStandIn) -> None:
+async def _away(database: Database) -> None:
     await asyncio.sleep(TROUBLE_AT_S)
-    await server.restart(TROUBLE_S)
+    database.tell(f"restart {TROUBLE_S}")
 
 
-Trouble = Callable[[PostgresqlStandIn], Awaitable[None]]
+Trouble = Callable[[Database], Awaitable[None]]
 STORES: dict[str, Trouble | None] = {
     "none": None, "SQLite": None, "PostgreSQL": _nothing, "PostgreSQL stalled 5 s": _stall,
     "PostgreSQL resets by turns": _drop, "PostgreSQL away 5 s": _away,
@@ -92,32 +109,30 @@
 async def play(seed: int, load: Load, store: str) -> Played:
     """One play, and its records held against what the callers got."""
     with tempfile.TemporaryDirectory() as name:
-        folder, server = Path(name), PostgresqlStandIn(Path(name))
-        await server.start()
-        path = folder / "outcomes.db"
+        folder, database = Path(name), Database()
+        dsn = await database.start(folder)
+        path = folder / ("outcomes.db" if store == "SQLite" else DATA)
         text = (f'backend = "sqlite"\npath = "{path}"\n' if store == "SQLite"
-                else f'backend = "postgresql"\ndsn = "{server.dsn}"\n')
+                else f'backend = "postgresql"\ndsn = "{dsn}"\n')
         (folder / "store.toml").write_text(text)
         more = {} if store == "none" else {"CANVASPLANK_STORE": str(folder / "store.toml")}
-        tries = await _calls(seed, load, folder, more, STORES[store], server)
+        tries = await _calls(seed, load, folder, more, STORES[store], database)
+        await database.stop()
         rows: list[tuple] = []
-        if store == "SQLite":
-            with closing(sqlite3.connect(path)) as database:
-                rows = database.execute(ROWS).fetchall()
-        elif store != "none":
-            rows = server.rows(ROWS)
-        await server.stop()
+        if store != "none":
+            with closing(sqlite3.connect(path)) as kept:
+                rows = kept.execute(ROWS).fetchall()
         return _judged(tries, rows)
 
 
 async def _calls(seed: int, load: Load, folder: Path, more: dict[str, str], trouble: Trouble | None,
-                 server: PostgresqlStandIn) -> list[Try]:
+                 database: Database) -> list[Try]:
     servers = [CallServer(f"s-{n}", load.capacity_per_s, hold_ms=1000.0, lines=2000) for n in range(3)]
     async with fleet(folder, servers, 1) as world:
         proxy = await world.proxy("n0", seed, **more)
         callers = Callers(seed, pools=len(servers))
         await callers.add_proxy(proxy.address)
-        beside = asyncio.ensure_future(trouble(server)) if trouble is not None else None
+        beside = asyncio.ensure_future(trouble(database)) if trouble is not None else None
         await callers.offer(load.rate_per_s, FOR_S)
         if beside is not None:
             await beside
--- a/standins/postgresql.py
+++ b/standins/postgresql.py
@@ -3,6 +3,9 @@
 Written from the protocol's public specification (PostgreSQL manual, chapter "Frontend/Backend Protocol").  It
 runs the statements it is sent, commits at Sync as the original does outside a transaction block, and fails on
 request: slow, stalled, dropped before or after a commit, refusing connections, restarted.
+
+``python -m standins.postgresql FOLDER`` runs one by itself, for measurements that its work must not disturb; it
+prints its DSN and takes commands on standard input: ``stalled 1``, ``drop_after_commit 1``, ``restart 5``.
 """
 
 from __future__ import annotations
@@ -12,12 +15,14 @@
 import re
 import sqlite3
 import struct
+import sys
 from dataclasses import dataclass, field
 from pathlib import Path
 
 SSL_REQUEST, CANCEL_REQUEST, PROTOCOL_3 = 80877103, 80877102, 196608
 TEXT, BIGINT, INTEGER = 25, 20, 23
 TYPES = {"text": TEXT, "bigint": BIGINT, "integer": INTEGER}
+DATA = "standin.db"  # the file of its data, in its folder
 CAST = re.compile(r"CAST\(\$(\d+) AS (\w+)\)")
 PARAMETERS = {"server_version": "16.0", "client_encoding": "UTF8", "server_encoding": "UTF8",
               "standard_conforming_strings": "on", "integer_datetimes": "on", "TimeZone": "UTC"}
@@ -262,7 +267,7 @@
         self.faults = Faults()
         self.commits = 0
         self.sessions = 0
-        self._path = folder / "standin.db"
+        self._path = folder / DATA
         self._port = 0
         self._server: asyncio.Server | None = None
         self._tasks: dict[asyncio.Task, asyncio.StreamWriter] = {}
@@ -321,3 +326,24 @@
         finally:
             session.database.close()  # what was not committed is rolled back
             writer.close()
+
+
+async def main(folder: str) -> None:
+    """Serve until standard input ends."""
+    server = PostgresqlStandIn(Path(folder))
+    await server.start()
+    print(server.dsn, flush=True)
+    commands = asyncio.StreamReader()
+    await asyncio.get_running_loop().connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(commands), sys.stdin)
+    while line := (await commands.readline()).decode().split():
+        name, figure = line
+        if name == "restart":
+            await server.restart(float(figure))
+        else:
+            setattr(server.faults, name, int(figure))
+    await server.stop()
+
+
+if __name__ == "__main__":
+    asyncio.run(main(*sys.argv[1:]))
