--- a/standins/postgresql.py
+++ b/standins/postgresql.py
@@ -4,8 +4,9 @@
 runs the statements it is sent, commits at Sync as the original does outside a transaction block, and fails on
 request: slow, stalled, dropped before or after a commit, refusing connections, restarted.
 
-``python -m standins.postgresql FOLDER`` runs one by itself, for measurements that its work must not disturb; it
-prints its DSN and takes commands on standard input: ``stalled 1``, ``drop_after_commit 1``, ``restart 5``.
+``python -m standins.postgresql FOLDER`` runs one by itself, for measurements that its own work must not
+disturb.  It prints its DSN and takes commands on standard input: ``stalled 1``,
+``drop_after_commit 1``, ``restart 5``.
 """
 
 from __future__ import annotations
