Membership: start from a list kept on disk while the notice board cannot be reached

Change: canvasplank/membership/: the kept list (JSON, versioned, bounded), the pure roster and its judge by age, a keeper that writes on a thread of its own by replacing the file. Old lists start each server at a low rate (Hinted). Switch files are read in one place (switch.py), blocking work is done by one kind of thread (background.py). Off unless CANVASPLANK_MEMBERSHIP names it.

--- a/canvasplank/__main__.py
+++ b/canvasplank/__main__.py
@@ -9,7 +9,8 @@
 import os
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from canvasplank import interface as api
@@ -26,18 +27,19 @@
 from canvasplank.settings import (
     Configuration,
     ConfigurationError,
-    Instance,
     Notice,
+    folded,
     load_configuration,
     read_ceilings,
     read_figures,
     read_settings,
-    server_of,
     split_address,
 )
 
 if TYPE_CHECKING:  # what is switched on by a file of its own is imported only then: off, it costs nothing
     from canvasplank.learning.config import Learning
+    from canvasplank.membership.config import Membership
+    from canvasplank.membership.keeper import Keeper
     from canvasplank.store.config import Store
     from canvasplank.store.writer import Writer
 
@@ -52,13 +54,22 @@
 FLUSH_MS = 200.0  # for the last bytes to leave
 
 
+@dataclass(frozen=True, slots=True)
+class Switched:
+    """The parts that are switched on by files of their own."""
+
+    learning: Learning | None = None
+    store: Store | None = None
+    membership: Membership | None = None
+
+
 class Program:
     """One signalling proxy."""
 
     def __init__(self, configuration: Configuration, read_again: Callable[[], Configuration],
-                 learning: Learning | None = None, store: Store | None = None) -> None:
+                 switched: Switched) -> None:
         self._configuration = configuration
-        self._learning = learning
+        self._learning = switched.learning
         self._read_again = read_again
         settings = read_settings(configuration.settings)
         ceilings = read_ceilings(configuration.settings)
@@ -82,7 +93,10 @@
         self._done = asyncio.Event()
         self._listening = False
         self._admin = Admin(self)
-        self._store, self._writer = store, None if store is None else self._recorder(store)
+        self._store = switched.store
+        self._writer = None if self._store is None else self._recorder(self._store)
+        self._membership = switched.membership
+        self._keeper: Keeper | None = None
 
     def _recorder(self, store: Store) -> Writer:
         from canvasplank.store.outbox import Outbox
@@ -103,7 +117,9 @@
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._turns.begin()
-        self._servers.listed(True, _known_instances(self._configuration.known.notices))
+        self._servers.listed(True, folded(self._configuration.known.notices))
+        if self._membership is not None:
+            self._keep(self._membership)
         if self._writer is not None:
             self._writer.start()
         if self._learning is not None:
@@ -117,9 +133,34 @@
             LOG.info("the operators' address is %s", self._configuration.admin)
         await self._done.wait()
         self._admin.close()
+        if self._keeper is not None:
+            await self._keeper.close()
         if self._writer is not None:
             await self._writer.drain(self._drain_s())
 
+    def _keep(self, membership: Membership) -> None:
+        """Keep the list on disk, and start from what lies there where nobody else has told one."""
+        from canvasplank.membership.keeper import Keeper, read
+        from canvasplank.membership.roster import Roster, judge
+
+        known = folded(self._configuration.known.notices)
+        self._keeper = Keeper(membership.path, Roster(known, self._turns.now_ms), self._turns,
+                              lambda: self._board.heard_ms)
+        self._keeper.start()
+        if known or (kept := read(membership.path)) is None:
+            return
+        gateways = read_settings(self._configuration.settings).instances
+        start = judge(kept, self._turns.now_ms, gateways, membership.trusted_ms, membership.most_age_ms,
+                      membership.start_per_s)
+        if start is None:
+            LOG.warning("no list of servers taken from %s: too old, or names nobody", membership.path)
+            return
+        LOG.info("starting from the list kept at %s: %d servers, %.0f s old%s", membership.path,
+                 len(start.instances), start.age_ms / 1000, ", with care" if start.careful else "")
+        self.counters.add("membership.starts_from_disk")
+        self._servers.listed(True, start.instances)
+        self._exchange.hinted(start.hints)
+
     def _drain_s(self) -> float:
         """What may be spent on records at the end: before somebody may kill us, and no longer than is set."""
         self._turns.begin()
@@ -145,8 +186,7 @@
         if seen is None:
             self.counters.add("learning.views_refused")
             return
-        listed = [Listed(i.instance_id, server_of(i).started_ms)
-                  for i in _known_instances(self._configuration.known.notices)]
+        listed = [Listed(*entry) for entry in self._servers.processes()]
         found = hints(seen, self._turns.now_ms, listed, None, learning.half_life_ms, learning.most_age_ms)
         self.counters.add("learning.views_taken")
         self._exchange.hinted(told(found))
@@ -184,6 +224,8 @@
     def _notice(self, notice: Notice) -> None:
         if notice.pool is not None:
             self._servers.listed(notice.pool.reset, notice.pool.instances)
+        if self._keeper is not None:
+            self._keeper.told(notice)
 
     def _reload(self) -> None:
         """Read the configuration again, follow the board where it now is and take new limits.
@@ -236,44 +278,36 @@
             self._done.set()
 
 
-def _known_instances(notices: list[Notice]) -> list[Instance]:
-    """The list as it stood at the start."""
-    instances: dict[str, Instance] = {}
-    for notice in notices:
-        if notice.pool is not None:
-            if notice.pool.reset:
-                instances.clear()
-            instances |= {instance.instance_id: instance for instance in notice.pool.instances}
-    return [instance for instance in instances.values() if instance.lifecycle != "gone"]
-
-
 def main() -> int:
     """Run by the environment's configuration; a fault in it is one line on standard error."""
     logging.basicConfig(format="%(asctime)s %(message)s", level=logging.INFO, stream=sys.stderr)
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     try:
-        learning_path = os.environ.get("CANVASPLANK_LEARNING")
-        learning = _learning(learning_path) if learning_path else None
-        store_path = os.environ.get("CANVASPLANK_STORE")
-        store = _load_store(store_path) if store_path else None
+        switched = _switched(os.environ)
         with asyncio.Runner(loop_factory=PipeLoop) as runner:
-            runner.run(_serve(_configuration(), learning, store))
+            runner.run(_serve(_configuration(), switched))
     except (ConfigurationError, api.SettingsError, OSError, ValueError) as fault:
         print(f"canvasplank: {one_line(fault)}", file=sys.stderr)
         return 2
     return 0
 
 
-def _learning(path: str) -> Learning:
-    from canvasplank.learning.config import load_learning
-
-    return load_learning(path)
+def _switched(environment: Mapping[str, str]) -> Switched:
+    """What the environment names files for; a part that is off is not even imported."""
+    learning = store = membership = None
+    if path := environment.get("CANVASPLANK_LEARNING"):
+        from canvasplank.learning.config import load_learning
 
+        learning = load_learning(path)
+    if path := environment.get("CANVASPLANK_STORE"):
+        from canvasplank.store.config import load_store
 
-def _load_store(path: str) -> Store:
-    from canvasplank.store.config import load_store
+        store = load_store(path)
+    if path := environment.get("CANVASPLANK_MEMBERSHIP"):
+        from canvasplank.membership.config import load_membership
 
-    return load_store(path)
+        membership = load_membership(path)
+    return Switched(learning, store, membership)
 
 
 def _configuration() -> Configuration:
@@ -294,8 +328,8 @@
     return " ".join(str(fault).split())
 
 
-async def _serve(configuration: Configuration, learning: Learning | None, store: Store | None) -> None:
-    program = Program(configuration, _configuration, learning, store)
+async def _serve(configuration: Configuration, switched: Switched) -> None:
+    program = Program(configuration, _configuration, switched)
     gc.freeze()  # what is made at the start stays: collections need not look at it
     with contextlib.suppress(asyncio.CancelledError):
         await program.run()
--- a/canvasplank/exchange.py
+++ b/canvasplank/exchange.py
@@ -312,6 +312,7 @@
 
     def hinted(self, events: list[api.Hinted]) -> None:
         """A running peer's aged word on servers, for this instance's start."""
+        self.counters.add("taken.hints", len(events))
         for event in events:
             self._tell(event)
 
--- a/canvasplank/learning/config.py
+++ b/canvasplank/learning/config.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-import tomllib
 from typing import Annotated
 
 import msgspec
 
 from canvasplank.learning.merge import HALF_LIFE_MS, MOST_AGE_MS
-from canvasplank.settings import ConfigurationError, split_address
+from canvasplank.settings import split_address
+from canvasplank.switch import load_switch
 
 Positive = Annotated[float, msgspec.Meta(gt=0, le=3_600_000)]
 
@@ -28,12 +28,10 @@
 
 
 def load_learning(path: str) -> Learning:
-    """Read the file; whatever is wrong with it is one line, as a bad configuration."""
-    try:
-        with open(path, "rb") as file:
-            learning = msgspec.convert(tomllib.load(file), Learning)
-        for address in filter(None, (learning.peer, learning.listen)):
-            split_address(address)
-    except (OSError, tomllib.TOMLDecodeError, msgspec.MsgspecError, ValueError) as fault:
-        raise ConfigurationError(f"learning {path}: {' '.join(str(fault).split())}") from None
-    return learning
+    """Read the file."""
+    return load_switch(path, "learning", Learning, _check)
+
+
+def _check(learning: Learning) -> None:
+    for address in filter(None, (learning.peer, learning.listen)):
+        split_address(address)
--- /dev/null
+++ b/canvasplank/membership/keeper.py
@@ -0,0 +1,102 @@
+"""Keeps the roster on disk: read once at the start, written after news and while the board speaks."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+from canvasplank.background import BusyError, Thread
+from canvasplank.deadlines import Turns
+from canvasplank.membership.kept import MOST_BYTES, KeptError, KeptList, decode, encode
+from canvasplank.membership.roster import Roster
+from canvasplank.settings import Notice
+
+LOG = logging.getLogger(__name__)
+WRITE_EVERY_MS = 1_000.0  # so that a release, which tells dozens of events, writes a few times
+CONFIRM_EVERY_MS = 10_000.0
+LAST_WRITE_S = 0.2  # at the end of the program
+PAUSE_MS, PAUSE_MOST_MS = 1_000.0, 60_000.0  # after a write that failed, doubling
+
+
+def read(path: str) -> KeptList | None:
+    """The kept list, or None with one log line; no file at all is a first start and worth a line, too."""
+    try:
+        with open(path, "rb") as file:
+            return decode(file.read(MOST_BYTES + 1))
+    except (OSError, KeptError) as fault:
+        LOG.warning("no list of servers taken from %s: %s", path, fault)
+        return None
+
+
+def write(path: str, kept: KeptList) -> None:
+    """Put a new file in the old one's place; guards against a crash that leaves half a list."""
+    fresh = f"{path}.new"
+    with open(fresh, "wb") as file:
+        file.write(encode(kept))
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(fresh, path)
+    folder = os.open(Path(path).parent, os.O_RDONLY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
+
+
+class Keeper:
+    """Writes the roster; the serving never waits for it."""
+
+    def __init__(self, path: str, roster: Roster, turns: Turns, heard_ms: Callable[[], float | None]) -> None:
+        self._path, self._roster, self._turns, self._heard_ms = path, roster, turns, heard_ms
+        self._thread = Thread("membership")
+        self._written_ms = 0.0
+        self._pause_ms = PAUSE_MS
+        self._not_before_ms = 0.0
+        self._failing = False
+        self._task: asyncio.Task | None = None
+
+    def told(self, notice: Notice) -> None:
+        """An event of the board."""
+        self._roster.told(notice, self._turns.now_ms)
+
+    def start(self) -> None:
+        """Look now and then whether there is something to write."""
+        self._turns.after(WRITE_EVERY_MS, self.start)
+        now_ms = self._turns.now_ms
+        if not self._roster.known or now_ms < self._not_before_ms:
+            return
+        if (heard_ms := self._heard_ms()) is not None:
+            self._roster.confirmed(heard_ms)
+            due = now_ms - self._written_ms >= CONFIRM_EVERY_MS
+        else:
+            due = False  # a board that is silent confirms nothing: the list keeps its age
+        if (self._roster.changed or due) and (self._task is None or self._task.done()):
+            self._task = asyncio.get_running_loop().create_task(self._write())
+
+    async def _write(self) -> None:
+        kept, self._roster.changed = self._roster.kept(), False
+        began_ms = self._turns.now_ms
+        try:
+            await self._thread.do(lambda: write(self._path, kept))
+        except (OSError, BusyError) as fault:
+            self._roster.changed = True
+            self._not_before_ms = began_ms + self._pause_ms
+            self._pause_ms = min(PAUSE_MOST_MS, 2 * self._pause_ms)
+            if not self._failing:
+                LOG.warning("the list of servers is not kept at %s: %s", self._path, fault)
+            self._failing = True
+            return
+        if self._failing:
+            LOG.info("the list of servers is kept again at %s", self._path)
+        self._failing, self._pause_ms, self._written_ms = False, PAUSE_MS, began_ms
+
+    async def close(self) -> None:
+        """Write what has changed, as far as that goes at once."""
+        if self._roster.known and self._roster.changed:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LAST_WRITE_S):
+                    await self._write()
--- a/canvasplank/network/board.py
+++ b/canvasplank/network/board.py
@@ -64,6 +64,12 @@
         self._backoff = Backoff(turns, BACKOFF_MS, BACKOFF_MOST_MS)
         self._unread = 0  # times in a row that the next event could not be read
 
+    @property
+    def heard_ms(self) -> float | None:
+        """When it last spoke on the connection that is open; None: none is, or it has told nothing yet."""
+        stream = self._stream
+        return stream.heard_ms if stream is not None and stream.is_open and self.last_id else None
+
     def start(self) -> None:
         """Connect, and keep looking whether it still speaks."""
         self._connect()
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -136,6 +136,10 @@
         avoided = [p for p in listed if p.state is not api.ServerState.READY or p.backoff.failures > 0]
         return len(listed), len(avoided)
 
+    def processes(self) -> list[tuple[str, float | None]]:
+        """The servers in the list, each with the start of its process."""
+        return [(peer.server_id, peer.started_ms) for peer in self._peers.values()]
+
     # -------------------------------------------------------------------------------- for the board
 
     def listed(self, complete: bool, instances: list[Instance]) -> None:
--- a/canvasplank/settings.py
+++ b/canvasplank/settings.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Annotated, Any
 
 import msgspec
@@ -107,6 +108,27 @@
 }
 
 
+def fold(instances: dict[str, Instance], notice: Notice) -> None:
+    """Take one event of the board into the list."""
+    if notice.pool is None:
+        return
+    if notice.pool.reset:
+        instances.clear()
+    for instance in notice.pool.instances:
+        if instance.lifecycle == "gone":
+            instances.pop(instance.instance_id, None)
+        else:
+            instances[instance.instance_id] = instance
+
+
+def folded(notices: Iterable[Notice]) -> list[Instance]:
+    """The list as it stands after these events."""
+    instances: dict[str, Instance] = {}
+    for notice in notices:
+        fold(instances, notice)
+    return list(instances.values())
+
+
 def load_configuration(path: str) -> Configuration:
     """Read the file; whatever is wrong with it comes out as one line."""
     try:
--- a/canvasplank/store/config.py
+++ b/canvasplank/store/config.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import tomllib
 from typing import Annotated, Literal
 from urllib.parse import urlsplit
 
 import msgspec
 
-from canvasplank.settings import ConfigurationError
 from canvasplank.store.backend import Backend
+from canvasplank.switch import load_switch
 
 Milliseconds = Annotated[float, msgspec.Meta(gt=0, le=60_000)]
 SCHEMES = ("postgresql", "postgres")
@@ -39,17 +38,15 @@
 
 
 def load_store(path: str) -> Store:
-    """Read the file; whatever is wrong with it is one line, as a bad configuration."""
-    try:
-        with open(path, "rb") as file:
-            store = msgspec.convert(tomllib.load(file), Store)
-        if store.backend == "sqlite" and not store.path:
-            raise ValueError("backend sqlite needs a path")
-        if store.backend == "postgresql":
-            where = urlsplit(store.dsn)
-            if where.scheme not in SCHEMES or not where.hostname or not where.path.strip("/"):
-                raise ValueError("backend postgresql needs a dsn like postgresql://user@host:5432/database")
-            _ = where.port  # raises where it is no port
-    except (OSError, tomllib.TOMLDecodeError, msgspec.MsgspecError, ValueError) as fault:
-        raise ConfigurationError(f"store {path}: {' '.join(str(fault).split())}") from None
-    return store
+    """Read the file."""
+    return load_switch(path, "store", Store, _check)
+
+
+def _check(store: Store) -> None:
+    if store.backend == "sqlite" and not store.path:
+        raise ValueError("backend sqlite needs a path")
+    if store.backend == "postgresql":
+        where = urlsplit(store.dsn)
+        if where.scheme not in SCHEMES or not where.hostname or not where.path.strip("/"):
+            raise ValueError("backend postgresql needs a dsn like postgresql://user@host:5432/database")
+        _ = where.port  # raises where it is no port
--- a/canvasplank/store/sqlite.py
+++ b/canvasplank/store/sqlite.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
-import queue
 import sqlite3
-import threading
 from collections.abc import Callable, Sequence
 from typing import TypeVar
 
+from canvasplank.background import BusyError, Thread
 from canvasplank.store import schema
 from canvasplank.store.backend import Count, StoreRefusedError, StoreUnavailableError
 from canvasplank.store.records import Outcome
@@ -18,45 +16,6 @@
 REFUSALS = (sqlite3.IntegrityError, sqlite3.DataError, sqlite3.InterfaceError, OverflowError, ValueError)
 
 Result = TypeVar("Result")
-Job = tuple[Callable[[], object], asyncio.Future, asyncio.AbstractEventLoop]
-
-
-class Thread:
-    """Does one thing after another; a daemon, so that a disk that hangs cannot keep the program alive."""
-
-    def __init__(self) -> None:
-        self._jobs: queue.SimpleQueue[Job] = queue.SimpleQueue()
-        self.busy = False
-        threading.Thread(target=self._work, name="store", daemon=True).start()
-
-    async def do(self, what: Callable[[], Result]) -> Result:
-        """Have it done there; one at a time, since what was given up may still be going on."""
-        if self.busy:
-            raise StoreUnavailableError("the last write is still going on")
-        self.busy = True
-        loop = asyncio.get_running_loop()
-        done: asyncio.Future[Result] = loop.create_future()
-        self._jobs.put((what, done, loop))
-        return await done
-
-    def _work(self) -> None:
-        while True:
-            what, done, loop = self._jobs.get()
-            try:
-                result, fault = what(), None
-            except Exception as caught:  # told to whoever waits for it
-                result, fault = None, caught
-            with contextlib.suppress(RuntimeError):  # the loop has ended meanwhile
-                loop.call_soon_threadsafe(self._tell, done, result, fault)
-
-    def _tell(self, done: asyncio.Future, result: object, fault: Exception | None) -> None:
-        self.busy = False
-        if done.done():
-            return  # given up
-        if fault is None:
-            done.set_result(result)
-        else:
-            done.set_exception(fault)
 
 
 class Sqlite:
@@ -68,9 +27,11 @@
         self._connection: sqlite3.Connection | None = None
 
     async def _do(self, what: Callable[[], Result]) -> Result:
-        self._thread = self._thread or Thread()
+        self._thread = self._thread or Thread("store")
         try:
             return await self._thread.do(what)
+        except BusyError as fault:
+            raise StoreUnavailableError(f"SQLite {self._path}: {fault}") from None
         except REFUSALS as fault:
             raise StoreRefusedError(f"SQLite: {fault}") from None
         except (sqlite3.Error, schema.NewerSchemaError) as fault:
--- a/standins/board.py
+++ b/standins/board.py
@@ -13,19 +13,21 @@
     """Holds its numbered events; whoever polls gets what came after its last, then what follows."""
 
     def __init__(self) -> None:
+        self._port = 0
         self._events: list[dict] = []
         self._news = asyncio.Condition()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()  # asyncio made them
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Listen on a free port; after a stop at the same one, with the events told so far."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
+        self._port = self._server.sockets[0].getsockname()[1]
 
     @property
     def address(self) -> str:
         """Where it listens."""
-        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        return f"127.0.0.1:{self._port}"
 
     async def tell(self, pool: dict) -> None:
         """A new event: ``pool`` as in the protocol."""
@@ -33,8 +35,12 @@
             self._events.append({"rev": len(self._events) + 1, "pool": pool})
             self._news.notify_all()
 
+    def anew(self) -> None:
+        """Begin to count again, as for a proxy that has just started."""
+        self._events.clear()
+
     def known(self) -> dict:
-        """The events so far, as a configuration holds them."""
+        """The events so far, as a configuration holds them where it does."""
         return {"rev": len(self._events), "notices": list(self._events)}
 
     async def stop(self) -> None:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -60,6 +60,7 @@
     def __init__(self, folder: Path, servers: list[CallServer], instances: int) -> None:
         self.folder, self.servers, self.instances = folder, servers, instances
         self.board = Board()
+        self.in_configuration = True  # whether a proxy's configuration names the servers
         self.proxies: list[Proxy] = []
 
     async def start(self) -> None:
@@ -67,9 +68,13 @@
         for server in self.servers:
             await server.start()
         await self.board.start()
+        await self.list(*self.servers)
+
+    async def list(self, *servers: CallServer) -> None:
+        """Have the board tell that these are the call servers; each is the one of its pool."""
         entries = [{"instanceId": server.name, "hostPort": server.address, "zone": "here",
                     "machineType": "std", "cell": cell, "lifecycle": "ready", "weight": 1, "startedAtMs": 0}
-                   for cell, server in enumerate(self.servers)]
+                   for cell, server in enumerate(servers)]
         await self.board.tell({"generation": 1, "reset": True, "instances": entries})
 
     def _configuration(self, name: str, address: str, seed: int) -> dict:
@@ -80,7 +85,8 @@
             "skilled_pools": [pools, pools], "class_hold_ms": [sum(holds) / len(holds)] * 2}
         settings = example["settings"] | {"instances": self.instances, "family_info": family}
         return example | {"name": name, "listen": address, "seed": f"{seed:016x}",
-                          "board": self.board.address, "known": self.board.known(), "settings": settings}
+                          "board": self.board.address, "settings": settings,
+                          "known": self.board.known() if self.in_configuration else {"rev": 0, "notices": []}}
 
     async def proxy(self, name: str, seed: int, **environment: str) -> Proxy:
         """Start one and wait until it listens."""
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -80,11 +80,12 @@
 # From the bottom up: a module imports only what stands before it.
 LAYERS = [
     "interface", "codecs.errors", "codecs.isup", "codecs.sip", "codecs.sse", "counters", "deadlines",
-    "closing", "learning.view", "learning.merge", "policy", "settings", "learning.config", "learning.asking",
-    "learning.exporting", "wirehost", "exchange", "store.records", "store.outbox", "store.schema",
-    "store.backend", "store.sqlite", "store.postgresql", "store.config", "store.writer", "store.__main__",
-    "network.loop", "network.stream", "network.connecting",
-    "network.callers", "network.servers", "network.board", "admin", "__main__",
+    "closing", "background", "learning.view", "learning.merge", "policy", "settings", "switch",
+    "learning.config", "learning.asking", "learning.exporting", "membership.kept", "membership.roster",
+    "membership.keeper", "membership.config", "wirehost", "exchange", "store.records", "store.outbox",
+    "store.schema", "store.backend", "store.sqlite", "store.postgresql", "store.config", "store.writer",
+    "store.__main__", "network.loop", "network.stream", "network.connecting", "network.callers",
+    "network.servers", "network.board", "admin", "__main__",
 ]
 
 
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,202 @@
+"""The kept list: its form, what it is worth by its age, and starts from it while the board is away."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+
+import pytest
+from conftest import Gateway, ready, settings
+
+from canvasplank import interface as api
+from canvasplank.deadlines import Deadlines, Turns
+from canvasplank.membership import keeper
+from canvasplank.membership.config import load_membership
+from canvasplank.membership.kept import MOST_BYTES, VERSION, KeptError, KeptList, KeptServer, decode, encode
+from canvasplank.membership.roster import MOST_AGE_MS, TRUSTED_MS, Roster, judge
+from canvasplank.settings import ConfigurationError, Instance, Notice, Pool
+from standins.callers import Callers
+from standins.fleet import fleet
+from standins.server import CallServer
+
+NOW = 1_800_000_000_000.0
+HOUR_MS = 3_600_000.0
+WAIT_S = 20.0
+A = KeptServer("s-a", "10.0.0.1:5060", "ready", 0, 1_700_000_000_000.0)
+B = KeptServer("s-b", "10.0.0.2:5060", "draining", 1)
+
+
+def kept(age_ms: float = 0.0, *servers: KeptServer) -> KeptList:
+    return KeptList(VERSION, NOW - age_ms, list(servers or (A, B)))
+
+
+def notice(number: int, reset: bool, **states: str) -> Notice:
+    instances = [Instance(f"s-{name}", f"10.0.0.{name}:1", state) for name, state in states.items()]
+    return Notice(number, Pool(instances, reset))
+
+
+def test_a_list_goes_and_comes_unchanged():
+    assert decode(encode(kept())) == kept()
+
+
+@pytest.mark.parametrize(("data", "why"), [
+    (b"", "cannot be read"),
+    (encode(kept())[:-20], "cannot be read"),  # cut short
+    (encode(kept()).replace(b"host_port", b"host_part"), "cannot be read"),
+    (encode(KeptList(2, NOW, [A])), "version 2"),
+    (encode(kept(0.0, A, A)), "twice"),
+    (b" " * (MOST_BYTES + 1), "more than"),
+    (encode(kept()).replace(b"ready", b"\xff\xfe"), "cannot be read"),
+])
+def test_a_list_that_is_spoilt_is_not_used(data, why, tmp_path, caplog):
+    with pytest.raises(KeptError, match=why):
+        decode(data)
+    (tmp_path / "servers.json").write_bytes(data)
+    assert keeper.read(str(tmp_path / "servers.json")) is None
+    assert len(caplog.records) == 1 and "no list of servers taken" in caplog.text
+
+
+@pytest.mark.parametrize(("age_ms", "names", "careful"), [
+    (TRUSTED_MS, ["s-a", "s-b"], False),  # as told, the draining one too
+    (TRUSTED_MS + 1, ["s-a"], True),
+    (HOUR_MS, ["s-a"], True),
+    (MOST_AGE_MS, ["s-a"], True),
+    (-5_000.0, ["s-a"], True),  # from the future: a clock was set back
+])
+def test_age_decides_who_is_entered_and_with_what_care(age_ms, names, careful):
+    start = judge(kept(age_ms), NOW, gateways=6)
+    assert [i.instance_id for i in start.instances] == names
+    assert start.careful is careful
+    assert start.hints == [api.Hinted(name, 1.0, shun=False) for name in names if careful]
+    assert start.instances[0].started_at_ms == A.started_at_ms, "a server is its process"
+
+
+@pytest.mark.parametrize("unusable", [kept(MOST_AGE_MS + 1), kept(HOUR_MS, B)])
+def test_a_list_too_old_or_of_nobody_is_not_used(unusable):
+    assert judge(unusable, NOW, gateways=1) is None
+
+
+def test_processors_that_have_just_started_are_not_overwhelmed_by_an_old_list():
+    """Four gateways start from a list an hour old, each with ten calls a second for one server."""
+
+    def sent_in_three_seconds(*hints: api.Hinted) -> int:
+        sent = 0
+        for seed in range(4):
+            gateway = Gateway(settings(instances=4), seed)
+            gateway.servers(ready("s-a", 0))
+            for hint in hints:
+                gateway.tell(hint)
+            gateway.alive["s-a"] = 40
+            for _ in range(30):
+                gateway.call(first=0)
+                gateway.until(gateway.now + 100)
+            sent += sum(isinstance(action, api.SetUp) for _, action in gateway.done)
+        return sent
+
+    budget = 4 * 0.29 * 20 * 3  # the rule's multiple, the coldest share, 20 calls a second, its span
+    assert sent_in_three_seconds(*judge(kept(HOUR_MS), NOW, gateways=4).hints) < budget
+    assert sent_in_three_seconds() > budget, "without care it is more"
+
+
+def test_the_roster_is_kept_only_once_somebody_has_told_all_of_it():
+    roster = Roster([], NOW)
+    roster.told(notice(2, reset=False, a="ready"), NOW)
+    assert not roster.known, "guards the list on disk against a part of one"
+    roster.told(notice(3, reset=True, a="ready", b="ready"), NOW + 1)
+    roster.told(notice(4, reset=False, b="gone", c="draining"), NOW + 2)
+    roster.confirmed(NOW + 9)
+    roster.confirmed(NOW + 5)
+    assert {s.instance_id: s.lifecycle for s in roster.kept().servers} == {"s-a": "ready", "s-c": "draining"}
+    assert roster.kept().as_of_ms == NOW + 9
+
+
+def test_a_write_that_fails_leaves_the_old_file_and_is_told_once(tmp_path, caplog):
+    path = tmp_path / "servers.json"
+    keeper.write(str(path), kept())
+    before = path.read_bytes()
+
+    async def run():
+        roster = Roster([Instance("s-c", "10.0.0.3:1", "ready")], NOW)
+        made = keeper.Keeper(str(path), roster, Turns(Deadlines(), lambda: NOW), lambda: None)
+        (tmp_path / "servers.json.new").mkdir()  # in the way of the new file
+        await made.close()
+        await made.close()
+        assert path.read_bytes() == before
+        (tmp_path / "servers.json.new").rmdir()
+        await made.close()
+
+    asyncio.run(run())
+    assert [s.instance_id for s in decode(path.read_bytes()).servers] == ["s-c"]
+    assert caplog.text.count("is not kept at") == 1
+
+
+@pytest.mark.parametrize(("text", "says"), [
+    ("", "path"), ('path = ""', "length"), ('path = "x"\ntrusted_ms = 9\nmost_age_ms = 3', "more than"),
+    ('path = "x"\ncolour = 1', "colour"),
+])
+def test_a_bad_setting_is_one_line(tmp_path, text, says):
+    (tmp_path / "membership.toml").write_text(text)
+    with pytest.raises(ConfigurationError, match=says):
+        load_membership(str(tmp_path / "membership.toml"))
+
+
+def answered(callers: Callers, address: str | None = None) -> set[str]:
+    return {made.outcome for made in callers.tries.values() if address in (None, made.proxy)}
+
+
+@pytest.mark.parametrize("age_ms", [0.0, HOUR_MS])
+def test_calls_stand_from_the_kept_list_and_the_board_s_replaces_it(tmp_path, age_ms):
+    """A first process keeps the list and is killed; a second starts with the board away and one server gone;
+    then the board is back with a new server in that one's place."""
+
+    async def run():
+        a, b, gone, new = (CallServer(f"s-{n}", 200.0, hold_ms=3000.0) for n in ("a", "b", "gone", "new"))
+        path, file = tmp_path / "servers.json", tmp_path / "membership.toml"
+        file.write_text(f'path = "{path}"\n')
+        async with fleet(tmp_path, [a, b, gone], 1) as world:
+            world.in_configuration = False
+            first = await world.proxy("n0", 1, CANVASPLANK_MEMBERSHIP=str(file))
+            async with asyncio.timeout(WAIT_S):
+                while not path.exists():
+                    await asyncio.sleep(0.05)
+            await first.stop(signal.SIGKILL)
+            await gone.stop()
+            await world.board.stop()
+            saved = decode(path.read_bytes())
+            assert len(saved.servers) == 3
+            path.write_bytes(encode(KeptList(VERSION, time.time() * 1000 - age_ms, saved.servers)))
+
+            proxy = await world.proxy("n0", 2, CANVASPLANK_MEMBERSHIP=str(file))
+            callers = Callers(1, pools=3)
+            await callers.add_proxy(proxy.address)
+            await callers.offer(15.0, 1.5)
+            await callers.settled(WAIT_S)
+            assert answered(callers) == {"served"}, proxy.text()
+
+            await new.start()
+            world.servers.append(new)
+            world.board.anew()
+            await world.list(a, b, new)
+            await world.board.start()
+            before = new.set_ups
+            async with asyncio.timeout(WAIT_S):
+                while new.set_ups == before:  # within seconds of the board's return
+                    await callers.offer(15.0, 0.3)
+            async with asyncio.timeout(WAIT_S):  # calls that stood meanwhile end as usual
+                while any(t.outcome == "open" or (t.outcome == "served" and t.released_s is None)
+                          for t in callers.tries.values()):
+                    await asyncio.sleep(0.05)
+            assert answered(callers) == {"served"}, proxy.text()
+            assert all(made.answers == 1 for made in callers.tries.values())
+            cut_short = [t for t in callers.tries.values() if t.released_s - t.answered_s < 2.5]
+            await callers.stop()
+            assert await proxy.stop() == 0
+            assert not cut_short, "no standing call was cut when the board's list replaced the kept one"
+            assert {s.instance_id for s in decode(path.read_bytes()).servers} == {"s-a", "s-b", "s-new"}
+            return proxy.text()
+
+    log = asyncio.run(run())
+    assert "starting from the list kept at" in log
+    careful = age_ms > TRUSTED_MS
+    assert (", with care" in log) is careful and ("hints=3" in log) is careful, "the module was told"
