End callers' connections while they are still read, before the process winds down

Once all was answered, the program left its loop with every connection open; until the process was gone, which takes longer on a busy machine, callers could write set-ups that nobody read. Lines: Program._flush, which only set _done. Shown by a test in one process: the program had ended and the caller heard nothing. Ruled out: an answer kept back (nothing was owed), the store and kept list (off). Change: at the end callers' connections are ended for writing and read on up to 100 ms; a set-up that crosses that is not taken, its caller sends it again; connections to servers end first, so that no release is confirmed that cannot be passed on.

--- a/canvasplank/__main__.py
+++ b/canvasplank/__main__.py
@@ -52,6 +52,7 @@
 KILLED_EARLY_MS = 100.0  # and all is to be done so long before it
 LOOK_MS = 20.0
 FLUSH_MS = 200.0  # for the last bytes to leave
+PART_MS = 100.0  # for callers to hear the end of their connections; what crosses it does so within 50 ms
 
 
 @dataclass(frozen=True, slots=True)
@@ -274,6 +275,18 @@
     def _flush(self, until_ms: float) -> None:
         if self._callers.unsent() and self._turns.now_ms < until_ms:
             self._turns.after(LOOK_MS, lambda: self._flush(until_ms))
+        else:
+            self._part()
+
+    def _part(self) -> None:
+        """End all connections while they are still read; the process winds down with none open."""
+        self._servers.part()
+        self._callers.part()
+        self._until_parted(self._turns.now_ms + PART_MS)
+
+    def _until_parted(self, until_ms: float) -> None:
+        if self._callers.streams and self._turns.now_ms < until_ms:
+            self._turns.after(LOOK_MS, lambda: self._until_parted(until_ms))
         else:
             self._done.set()
 
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -122,6 +122,7 @@
         self._figures = figures
         self.streams: dict[CallerStream, None] = {}  # in the order of their coming
         self.accepting = True
+        self.parting = False  # connections are ending: a set-up that crosses that is sent again elsewhere
         self.quiesced = False  # the operators send callers away: connections go as soon as nothing is open
         self._owed: dict[str, int] = {}  # releases that wait for a connection, with their causes
         self.limit(sockets)
@@ -153,6 +154,16 @@
         if self._server is not None:
             self._server.close()
 
+    def part(self) -> None:
+        """The program ends, nothing is owed: end every connection, and read on for what crosses that.
+
+        Guards against a set-up that is written to a connection which nobody reads any more while the process
+        winds down, and which is then closed on without an answer: found on an upgrade day.
+        """
+        self.parting = True
+        for stream in list(self.streams):
+            stream.finish()
+
     def quiesce(self) -> None:
         """Send callers away: each connection is closed once it has no open set-up, from now on."""
         self.quiesced = True
@@ -243,6 +254,8 @@
             stream.calls = True
             self._pay(stream)
         match message.kind:
+            case isup.Kind.SET_UP if self.parting:
+                pass  # its caller sends it again on a new connection: two of it must not go out
             case isup.Kind.SET_UP:
                 self._set_up(stream, message)
             case isup.Kind.RELEASE:
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -127,6 +127,7 @@
         self._peers: dict[str, Peer] = {}
         self._probes: dict[str, str] = {}
         self._probe_count = 0
+        self._parting = False  # the program ends
         self._resend_ms = resend_ms or FIRST_RESEND_MS
         self.turns.after(LOOK_SHARE * self._resend_ms, self._look)
 
@@ -136,6 +137,12 @@
         avoided = [p for p in listed if p.state is not api.ServerState.READY or p.backoff.failures > 0]
         return len(listed), len(avoided)
 
+    def part(self) -> None:
+        """The program ends: hear no more, so that no release is confirmed that can not be passed on."""
+        self._parting = True
+        for stream in [s for peer in self._peers.values() for s in peer.streams]:
+            stream.transport.abort()
+
     def processes(self) -> list[tuple[str, float | None]]:
         """The servers in the list, each with the start of its process."""
         return [(peer.server_id, peer.started_ms) for peer in self._peers.values()]
@@ -316,6 +323,8 @@
 
     def _connect(self, peer: Peer) -> None:
         """Have a current connection, up or on its way."""
+        if self._parting:
+            return
         current = peer.current
         if current is not None and (current.is_open or current.connecting is not None):
             return
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -141,3 +141,46 @@
     else:
         new.wait_for("canvasplank: learning")
         assert new.process.wait(WAIT_S) == 2
+
+
+def test_no_connection_is_open_when_the_process_winds_down(tmp_path):
+    """A set-up written to a connection that nobody reads any more was lost on an upgrade day."""
+    import asyncio
+
+    from canvasplank.__main__ import Program, Switched
+    from canvasplank.network.loop import PipeLoop
+    from canvasplank.settings import load_configuration
+
+    configuration = json.loads((ROOT / "examples" / "config.json").read_text())
+    configuration |= {"listen": f"127.0.0.1:{free_port()}", "board": f"127.0.0.1:{free_port()}"}
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(configuration))
+
+    async def run() -> list[str]:
+        seen: list[str] = []
+        loaded = load_configuration(str(path))
+        program = Program(loaded, lambda: loaded, Switched())
+
+        async def caller() -> None:
+            port, writer = int(loaded.listen.split(":")[1]), None
+            while writer is None:
+                try:
+                    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                except ConnectionRefusedError:
+                    await asyncio.sleep(0.01)
+            writer.write(b"\x00\r4" + bytes(7) + b"\x01\x8e\x00\x01\x00")
+            await reader.readexactly(15)
+            program._terminate()
+            assert await reader.read() == b""
+            seen.append("the caller heard the end")
+            writer.close()
+
+        calling = asyncio.create_task(caller())
+        async with asyncio.timeout(WAIT_S):
+            await program.run()
+            seen.append("the program has ended")
+        calling.cancel()
+        return seen
+
+    with asyncio.Runner(loop_factory=PipeLoop) as runner:
+        assert runner.run(run()) == ["the caller heard the end", "the program has ended"]
