--- a/canvasplank/__main__.py
+++ b/canvasplank/__main__.py
@@ -32,6 +32,7 @@
     load_configuration,
     read_ceilings,
     read_figures,
+    read_gauges,
     read_settings,
     split_address,
 )
@@ -84,7 +85,8 @@
         self._callers = Callers(self._exchange, figures, configuration.limits.sockets, ceilings.conn_idle_ms,
                                 self._held)
         self._exchange.callers = self._callers
-        self._servers = Servers(self._exchange, ceilings, settings.resend_ms, self._held)
+        gauges = read_gauges(configuration.settings)
+        self._servers = Servers(self._exchange, ceilings, settings.resend_ms, self._held, gauges)
         self._exchange.servers = self._servers
         self._board = Board(self._turns, configuration.board, configuration.known.rev, self._notice,
                             self._held)
@@ -239,6 +241,7 @@
             fresh = self._read_again()
             read_ceilings(fresh.settings)
             read_figures(read_settings(fresh.settings), fresh.settings)
+            read_gauges(fresh.settings)
         except (ConfigurationError, api.SettingsError) as fault:
             LOG.warning("not reloaded, the old configuration stays: %s", one_line(fault))
             return
--- a/canvasplank/codecs/isup.py
+++ b/canvasplank/codecs/isup.py
@@ -33,8 +33,10 @@
 
     CLASS = 100
     WAIT = 103
+    TENANT = 106
     NUMBER = 112
     FIGURES = 115
+    STAY_AWAY = 118
     CAUSE = 142
     DESCRIPTION = 145
 
@@ -142,9 +144,12 @@
     return encode(Message(Kind.ANSWER, call_id, {Parameter.DESCRIPTION: description}))
 
 
-def release(call_id: str, cause: int) -> bytes:
-    """Refused, failed or over, by the cause and by what went before."""
-    return encode(Message(Kind.RELEASE, call_id, {Parameter.CAUSE: bytes([cause])}))
+def release(call_id: str, cause: int, stay_away_ms: float | None = None) -> bytes:
+    """Refused, failed or over, by the cause and by what went before; a refusal may name a wait."""
+    parameters: dict[int, bytes] = {Parameter.CAUSE: bytes([cause])}
+    if stay_away_ms is not None:
+        parameters[Parameter.STAY_AWAY] = b"%d" % stay_away_ms
+    return encode(Message(Kind.RELEASE, call_id, parameters))
 
 
 def release_heard(call_id: str) -> bytes:
--- a/canvasplank/exchange.py
+++ b/canvasplank/exchange.py
@@ -77,6 +77,18 @@
         """A call that stood has ended."""
 
 
+@dataclass(frozen=True, slots=True)
+class Said:
+    """What a server said with a refusal, beside its outcome."""
+
+    processor_full: bool = False
+    number_busy: bool = False
+    report: api.Report | None = None
+
+
+NOTHING_SAID = Said()
+
+
 @dataclass(slots=True)
 class Attempt:
     """The one set-up of a call that is out."""
@@ -99,6 +111,7 @@
     gives_up_ms: float
     description: bytes
     origin: Hashable
+    tenant: str | None = None  # None: the settings name no tenants
     taken_ms: float = 0.0
     attempts: int = 0
     tried: str | None = None  # the server of its latest attempt
@@ -110,8 +123,8 @@
 
     def is_again(self, other: CallRecord) -> bool:
         """Whether the other is the same set-up, sent once more."""
-        return ((self.class_name, self.number, self.first_choice, self.description)
-                == (other.class_name, other.number, other.first_choice, other.description))
+        return ((self.class_name, self.tenant, self.number, self.first_choice, self.description)
+                == (other.class_name, other.tenant, other.number, other.first_choice, other.description))
 
 
 class Exchange:
@@ -175,7 +188,7 @@
         self._held_bytes += len(call.description)
         call.deadline = self.turns.deadlines.add(call.gives_up_ms, lambda: self._overdue(call))
         self._tell(api.Call(call.id, call.class_name, call.gives_up_ms, call.first_choice,
-                            number=call.number, was_cut=call.was_cut))
+                            contract=call.tenant, number=call.number, was_cut=call.was_cut))
         return True
 
     def invalid(self, call: CallRecord) -> None:
@@ -259,13 +272,13 @@
         self._tell(api.Established(call_id, out.number, server_id, self.turns.now_ms - out.sent_ms))
 
     def ended(self, server_id: str, call_id: str, attempt: int, outcome: api.Outcome,
-              processor_full: bool = False) -> None:
+              said: Said = NOTHING_SAID) -> None:
         """An attempt that was not answered has ended."""
         call = self._open.get(call_id)
         if call is not None and self._is_out(call, server_id, attempt):
-            self._end_attempt(call, outcome, processor_full=processor_full)
+            self._end_attempt(call, outcome, said=said)
 
-    def released(self, server_id: str, call_id: str, cause: int) -> None:
+    def released(self, server_id: str, call_id: str, cause: int, report: api.Report | None = None) -> None:
         """A server ended a call that stood."""
         call = self._standing.get(call_id)
         if call is not None:
@@ -273,7 +286,8 @@
                 return  # guards against the end of an attempt that was taken back there
             self.counters.add("taken.ends")
             self.callers.release(call.origin, call_id, cause)
-            self._end_standing(call, api.Outcome.ENDED if cause == NORMAL_CLEARING else api.Outcome.RESET)
+            outcome = api.Outcome.ENDED if cause == NORMAL_CLEARING else api.Outcome.RESET
+            self._end_standing(call, outcome, report)
         elif call_id not in self._ended and call_id not in self._open:
             # Guards against losing a release after a restart of ours: the caller still counts on the call.
             self.counters.add("taken.ends_unknown")
@@ -405,7 +419,7 @@
             self.recorder.answered(call, final.value, self.turns.now_ms)
 
     def _end_attempt(self, call: CallRecord, outcome: api.Outcome, *, cancel: bool = False,
-                     processor_full: bool = False) -> None:
+                     said: Said = NOTHING_SAID) -> None:
         out, call.out = call.out, None
         self.turns.deadlines.discard(out.deadline)
         self.counters.add(f"ended.{outcome.name.lower()}")
@@ -414,7 +428,8 @@
         if not call.owed:
             self._close(call)
         self._tell(api.AttemptEnded(call.id, out.number, out.server_id, outcome, finished=not call.owed,
-                                    processor_full=processor_full))
+                                    processor_full=said.processor_full, number_busy=said.number_busy,
+                                    report=said.report))
 
     def _close(self, call: CallRecord) -> None:
         """Nothing more is owed or out."""
@@ -426,13 +441,14 @@
         if call.stands_at is None:
             self._remember(call.id)
 
-    def _end_standing(self, call: CallRecord, outcome: api.Outcome) -> None:
+    def _end_standing(self, call: CallRecord, outcome: api.Outcome, report: api.Report | None = None) -> None:
         del self._standing[call.id]
         self._remember(call.id)
         if self.recorder is not None:
             self.recorder.over(call, outcome, self.turns.now_ms)
         self.counters.add(f"ended.{outcome.name.lower()}")
-        self._tell(api.AttemptEnded(call.id, call.attempts - 1, call.stands_at, outcome, finished=True))
+        self._tell(api.AttemptEnded(call.id, call.attempts - 1, call.stands_at, outcome, finished=True,
+                                    report=report))
 
     def _remember(self, call_id: str) -> None:
         self._ended[call_id] = None
--- a/canvasplank/interface.py
+++ b/canvasplank/interface.py
@@ -132,9 +132,9 @@
 class Settings:
     """All that a controller is told at its start.
 
-    Contracts, the over-quota worth, what is reported and probed, and the grace and span of the rules are not
-    acted on today (``docs/design.md`` says why).  A gateway has them at hand and passes them, so that a
-    decision that comes to need them changes no gateway.
+    What is reported and probed, and the grace and span of the rules are not acted on today
+    (``docs/design.md`` says why).  A gateway has them at hand and passes them, so that a decision that comes
+    to need them changes no gateway.
     """
 
     instances: int  # gateways in this tier, this one among them
@@ -230,6 +230,7 @@
     outcome: Outcome
     finished: bool  # the call is over; otherwise a final answer is still owed
     processor_full: bool = False  # with FULL: it was the processor that was full
+    number_busy: bool = False  # with ERROR: every line of the number called is busy
     report: Report | None = None
 
 
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -186,8 +186,8 @@
         origin.answered(call_id, isup.answer(call_id, description))
 
     def reject(self, origin: Hashable, call_id: str, final: Final, retry_after_ms: float | None) -> None:
-        """See ``CallerSide``; these messages have no place for a wait."""
-        origin.answered(call_id, isup.release(call_id, CAUSES[final]))
+        """See ``CallerSide``."""
+        origin.answered(call_id, isup.release(call_id, CAUSES[final], retry_after_ms))
 
     def release(self, origin: Hashable | None, call_id: str, cause: int) -> None:
         """See ``CallerSide``; no connection owns a standing call: any will do, or the next one to come."""
@@ -274,7 +274,7 @@
     def _set_up(self, stream: CallerStream, message: isup.Message) -> None:
         call = self._call(stream, message)
         new = call.id not in stream.open
-        if new and (call.class_name not in self._figures.classes or not self._possible(message)):
+        if new and not self._possible(call, message):
             # Guards the servers' work, and other callers' set-ups, against what no server can use.
             self.exchange.invalid(call)
             return
@@ -284,8 +284,11 @@
                 stream.open.discard(call.id)
             raise BadMessageError(f"set-up {call.id}: the id is another call's")
 
-    def _possible(self, message: isup.Message) -> bool:
-        """Whether the figures are within what the settings know."""
+    def _possible(self, call: CallRecord, message: isup.Message) -> bool:
+        """Whether class, tenant and figures are within what the settings know."""
+        tenants = self._figures.tenants
+        if call.class_name not in self._figures.classes or (tenants and call.tenant not in tenants):
+            return False
         figures = _figures(message)
         pool, width = figures.get("dest", -1), figures.get("width", 1)
         pools, most = self._figures.pools, self._figures.most_width
@@ -316,6 +319,7 @@
         return CallRecord(
             id=message.call_id,
             class_name=message.text(isup.Parameter.CLASS),
+            tenant=message.text(isup.Parameter.TENANT) if self._figures.tenants else None,
             number=number,
             first_choice=figures.get("dest", -1),
             was_cut=figures.get("again") == 1,
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -13,10 +13,10 @@
 from canvasplank import interface as api
 from canvasplank.codecs import sip
 from canvasplank.codecs.errors import BadMessageError
-from canvasplank.exchange import TAKEN_BACK_CAUSE, CallRecord, Exchange
+from canvasplank.exchange import TAKEN_BACK_CAUSE, CallRecord, Exchange, Said
 from canvasplank.network.connecting import Backoff, Connecting
 from canvasplank.network.stream import Held, Stream
-from canvasplank.settings import REPORT_FIELDS, Ceilings, Instance, server_of
+from canvasplank.settings import Ceilings, Gauges, Instance, server_of
 
 LOG = logging.getLogger(__name__)
 BACKOFF_MS, BACKOFF_MOST_MS = 50.0, 800.0
@@ -37,10 +37,11 @@
 OK, MULTIPLE_CHOICES = 200, 300
 NORMAL_CLEARING = 16
 BEGIN_OF_NEXT = b"SIP/2.0"  # no description holds it
-PROCESSOR_FULL = "cpu_full"
+PROCESSOR_FULL, NUMBER_BUSY = "cpu_full", "number_busy"
 CALL_ID = re.compile(r"[0-9a-f]{16}")
 # From the start of a word only: guards against seconds spent on a long body that holds no figures.
-GAUGE = re.compile(r"\b([A-Za-z_]\w*)\s*[=:]\s*(-?\d+(?:\.\d+)?)")
+GAUGE = re.compile(r"\b([A-Za-z_]\w*)\s*[=:]\s*(-?\d+(?:\.\d+)?(?:[eE][+-]?\d{1,2})?)(?![\w.])")
+WAITED = re.compile(r"\d{1,9}(?:\.\d{1,9})?")
 
 
 @dataclass(slots=True)
@@ -119,8 +120,10 @@
 class Servers:
     """All connections to call servers."""
 
-    def __init__(self, exchange: Exchange, ceilings: Ceilings, resend_ms: float | None, held: Held) -> None:
+    def __init__(self, exchange: Exchange, ceilings: Ceilings, resend_ms: float | None, held: Held,
+                 gauges: Gauges) -> None:
         self.exchange = exchange
+        self._gauges = gauges
         self.held = held
         self.turns = exchange.turns
         self._ceilings = ceilings
@@ -471,12 +474,12 @@
                 # Guards the callers, and what is remembered of calls, against an id that is no call's.
                 if CALL_ID.fullmatch(message.call_id):
                     cause = NORMAL_CLEARING if message.cause is None else message.cause
-                    self.exchange.released(stream.peer.server_id, message.call_id, cause)
+                    report = self._gauges.report(_figures(message))
+                    self.exchange.released(stream.peer.server_id, message.call_id, cause, report)
             case "NOTIFY":
                 stream.peer.tells = True
-                gauges = _gauges(message)
-                if "free" in gauges and "size" in gauges:
-                    self.exchange.lines_told(stream.peer.server_id, gauges["free"], gauges["size"])
+                if (lines := self._gauges.lines(_figures(message))) is not None:
+                    self.exchange.lines_told(stream.peer.server_id, *lines)
             case "OPTIONS":
                 stream.write(sip.response(OK, "OK", message))
 
@@ -484,7 +487,7 @@
         if message.method == "BYE":
             stream.unheard.pop(message.call_id, None)
         if message.method == "OPTIONS":
-            self._probed(message.call_id, message.status == OK, _report(_gauges(message)))
+            self._probed(message.call_id, message.status == OK, self._gauges.report(_figures(message)))
         if message.method != "INVITE" or message.status < OK or not CALL_ID.fullmatch(message.call_id):
             return
         call_id, server_id = message.call_id, stream.peer.server_id
@@ -498,16 +501,19 @@
         elif attempt is not None:
             outcome = OUTCOMES.get(message.status, api.Outcome.ERROR)
             note = message.headers.get("x-outcome", "")
-            self.exchange.ended(server_id, call_id, attempt, outcome, processor_full=note == PROCESSOR_FULL)
+            busy = note == NUMBER_BUSY and outcome is api.Outcome.ERROR
+            report = self._gauges.report(_figures(message), _waited_ms(message))
+            self.exchange.ended(server_id, call_id, attempt, outcome,
+                                Said(note == PROCESSOR_FULL, busy, report))
 
 
-def _gauges(message: sip.Message) -> dict[str, float]:
-    """The load figures, in their header or in the body."""
+def _figures(message: sip.Message) -> dict[str, float]:
+    """The figures told, in their header or in the body; what cannot be read as one is passed over."""
     text = message.headers.get("x-gauges") or message.body.decode("utf-8", "replace")
     return {name: float(value) for name, value in GAUGE.findall(text)}
 
 
-def _report(gauges: dict[str, float]) -> api.Report | None:
-    values = {REPORT_FIELDS[name].value: value for name, value in gauges.items()
-              if name in REPORT_FIELDS and value >= 0}
-    return api.Report(**values) if values else None
+def _waited_ms(message: sip.Message) -> float | None:
+    """The wait at a full processor, which it tells where the settings say so."""
+    text = message.headers.get("x-waited", "")
+    return float(text) if WAITED.fullmatch(text) else None
--- a/canvasplank/policy.py
+++ b/canvasplank/policy.py
@@ -1,13 +1,11 @@
 """Every decision of the call controller: one multi-priority leaky bucket per server, and what guards it.
 
-The types, events, actions and settings are in ``canvasplank/interface.py``; read that first.  Then read
-here in this order: the constants; ``LeakyBucket`` (ND1621's restrictor); ``ServerView`` (what this gateway
-knows of one server); ``CallState``; and ``Controller``, from ``handle`` down.  Its ``_gate`` is the one place
-through which every set-up leaves, and it checks the five rules.  Time acts through one timer: ``_due`` names
-the next instant at which something can change, ``_look`` is what happens then.
+The types, events, actions and settings are in ``canvasplank/interface.py``; read that first.  ``_gate`` is
+the one place through which every set-up leaves, and it checks the five rules.  Time acts through one timer:
+``_due`` names the next instant at which something can change, ``_look`` is what happens then.
 
 The ordinary path is the bucket test, thresholds that rise with worth, the rate rule and the route rule.  What
-departs from it is marked "Exception" and stands in ``docs/design.md`` with the condition under which it acts.
+departs from it is marked "Exception"; ``docs/design.md`` says when each acts and what it guards against.
 """
 
 from __future__ import annotations
@@ -16,31 +14,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Iterator
 
-from canvasplank.interface import (
-    Action,
-    AttemptEnded,
-    Call,
-    CallClass,
-    CallerGone,
-    Cancel,
-    Established,
-    Event,
-    Fail,
-    Hinted,
-    LinesTold,
-    ListKind,
-    Log,
-    Outcome,
-    ProbeAnswered,
-    Refuse,
-    Server,
-    ServerList,
-    ServerState,
-    SetTimer,
-    Settings,
-    SetUp,
-    TimerFired,
-)
+from canvasplank import interface as api
 
 # The bucket.  A set-up of any class is the same work here, so the splash is the unit of all figures below.
 SPLASH = 1.0
@@ -48,7 +22,7 @@
 LOWEST_THRESHOLD = 1.0  # for the least worth: only into an empty bucket
 HIGHEST_THRESHOLD = 2.5  # for the most worth: all gateways together run ahead so far at each server
 MAX_FILL = 3.0
-WORKLESS = (Outcome.ERROR, Outcome.NO_CONNECTION, Outcome.NOT_SENT)  # ended without the work of a call
+WORKLESS = (api.Outcome.ERROR, api.Outcome.NO_CONNECTION, api.Outcome.NOT_SENT)  # without a call's work
 # The rate rule (ND1621's adaptation).
 FLOOR_RATE = 1.0  # calls/s, at least after a cut, and ...
 GROWTH = 0.1  # ... per quiet second, or FLOOR_RATE, whichever is more
@@ -69,12 +43,15 @@
 EASING = 1.5  # times the rate at each such row, up to what it was
 SILENT_DELAYS = 4.0  # silence: that time over, and this many of the server's usual answer delays
 DELAY_WEIGHT = 0.25  # of the newest answer in the usual delay
-# Between two trials of a silent server, doubling, in times of that after which waiting does harm.
 LOST_SPARED = 2  # unanswered set-ups that tell nothing of a server that loses some
 ALONE = 1  # overdue answers that tell nothing after one that came in time
-TRIAL_TIMES, TRIAL_TIMES_MOST = 2.0, 8.0
+TRIAL_TIMES, TRIAL_TIMES_MOST = 2.0, 8.0  # that time, between two trials of a silent server, doubling
 CONFIRM_MS = 5000.0  # the list is seconds late: so long may a return from silence be a fresh start
-COLD_SAFETY = 0.3  # of the budget of a cold server: lines are a rough measure of what it can do
+# Of the budget of a cold server, by what tells what it can do: lines are a rough measure of that, what its
+# predecessor told a better one, and its own fresh report the best; or so many times what it answers us now.
+COLD_BY_LINES, COLD_BY_POOL, COLD_BY_REPORT = 0.3, 0.6, 0.8
+COLD_TIMES = 1.2
+FRESH_MS = 2000.0  # so long a report counts as of now
 MARGIN_MS = 25.0  # a final answer leaves this and MARGIN_TICKS before the caller's time is up
 MARGIN_TICKS = 2
 MARGIN_SHARE = 0.1  # of the caller's wait, where that is less than MARGIN_MS
@@ -83,6 +60,9 @@
 HELD_MOST = 400  # calls held; past it the least worth is refused
 POOLS_MOST = 256  # whose lines are remembered
 REDIALS_MOST = 4000  # unserved calls remembered for their redials
+BUSY_MS, BUSY_MOST_MS = 500.0, 4000.0  # a number found busy is left alone so long, doubling
+BUSY_MOST = 1000  # such numbers remembered
+CREDIT_MOST = 4.0  # calls that a customer may bring in a row beyond its part of the traffic
 LOG_EVERY_MS = 5000.0  # between two lines about the pressure on one server
 
 
@@ -123,12 +103,14 @@
 class ServerView:
     """What this gateway knows of one server, from its list and its own traffic alone."""
 
-    def __init__(self, entry: Server, now_ms: float, dither: float) -> None:
+    def __init__(self, entry: api.Server, now_ms: float, dither: float) -> None:
         self.server_id = entry.id
         self.pool = entry.pool
         self.state = entry.state
         self.started_ms = entry.started_ms
         self.lines: float | None = None  # all its lines, where they are told
+        self.capacity: float | None = None  # set-ups a second from all senders, told while it had no wait
+        self.told_ms = -NEVER  # when it last told that itself
         self.bucket = LeakyBucket(now_ms, dither)
         self.pending: dict[str, float] = {}  # unanswered set-ups of ours, by call, with the time of sending
         self.answered: deque[float] = deque()  # when our set-ups were answered, one look back at most
@@ -157,8 +139,7 @@
     def waiting_since(self, spared: int = 0) -> float:
         """When the oldest set-up was sent that is younger than the last one answered; NEVER: there is none.
 
-        Answers come in the order of the set-ups; one that was overtaken is lost and tells nothing.
-        The oldest ``spared`` of them tell nothing.
+        Answers come in order: one overtaken is lost and tells nothing, nor do the oldest ``spared``.
         Exception (lost set-ups): where some were lost lately, one or two unanswered tell nothing either.
         """
         last_ms = next(reversed(self.pending.values()), -NEVER)
@@ -171,11 +152,7 @@
         return NEVER
 
     def pressed_since(self) -> float:
-        """The same for signs of pressure, of which it takes two: one alone after one in time is chance.
-
-        Guards against a rate being cut again and again at a server that is well: one answer in forty that was
-        lost or met a short wait is no pressure, and each cut goes below what the last one left.
-        """
+        """The same for signs of pressure, of which it takes two: one alone after one in time is chance."""
         return self.waiting_since(0 if self.slow else ALONE)
 
     def lately(self, now_ms: float) -> float:
@@ -185,10 +162,7 @@
         return len(self.answered) * SECOND_MS / LOOK_BACK_MS
 
     def answered_rate(self, now_ms: float) -> float:
-        """Answered calls a second: of the last second, or over a longer look back when that holds too few.
-
-        Exception (noisy second): guards against one unlucky second setting a rate far too low.
-        """
+        """Answered calls a second: of the last second, or longer where too few (Exception: noisy second)."""
         self.lately(now_ms)
         span_ms, count = SECOND_MS, 0
         for at in reversed(self.answered):
@@ -203,11 +177,12 @@
 class CallState:
     """One call that still lacks its final answer."""
 
-    def __init__(self, call: Call, call_class: CallClass, now_ms: float, first_ms: float) -> None:
+    def __init__(self, call: api.Call, call_class: api.CallClass, now_ms: float, first_ms: float,
+                 part: float) -> None:
         self.call = call
         self.call_class = call_class
+        self.part = part  # of its class's worth that it has: less past its customer's share
         self.arrived_ms = now_ms
-        # Guards against failing a call of a caller in a hurry, who waits 100 ms, a quarter of that early.
         self.margin_ms = max(0.0, min(MARGIN_MS, MARGIN_SHARE * (call.gives_up_ms - now_ms)))
         self.first_ms = first_ms
         self.aim_ms = first_ms + call_class.aim_ms  # counted from the caller's first try
@@ -217,7 +192,7 @@
         self.server: ServerView | None = None  # where its one attempt is out
         self.not_before_ms = now_ms  # rule 5
 
-    def has_out(self, event: Established | AttemptEnded) -> bool:
+    def has_out(self, event: api.Established | api.AttemptEnded) -> bool:
         """Whether the event is of the attempt that is out: one told twice must not free the call."""
         return self.server is not None and event.attempt == self.attempts - 1
 
@@ -225,20 +200,24 @@
 class Controller:
     """The decisions of one gateway."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int) -> None:
         self._settings = settings
         self._random = random.Random(seed)
         self._now = 0.0
         self._classes = {c.name: c for c in settings.classes}
         self._servers: dict[str, ServerView] = {}
-        self._lines: dict[int, float] = {}  # what was told last, by pool
+        self._told: dict[int, tuple[float | None, float | None]] = {}  # lines and capacity, by pool
         self._calls: dict[str, CallState] = {}  # those that still lack their final answer
         self._held: dict[str, CallState] = {}  # those of them that have no attempt out
         self._standing: dict[str, CallState] = {}  # those that stand, until they end
         # First tries of calls that may be dialled again, with the time of the note, which is their order.
-        self._unserved: OrderedDict[tuple[str, str], tuple[float, float]] = OrderedDict()
+        self._unserved: OrderedDict[tuple[str, str], tuple[float, float, float]] = OrderedDict()
+        quotas = sum(c.quota_per_s for c in settings.contracts)
+        self._parts = {c.name: c.quota_per_s / quotas for c in settings.contracts if quotas}
+        self._credit = dict.fromkeys(self._parts, CREDIT_MOST)
+        self._busy: dict[str, tuple[float, float]] = {}  # numbers found busy: when to try again, the gap then
         self._memory_ms = max(c.deadline_ms for c in settings.classes)
-        self._actions: list[Action] = []
+        self._actions: list[api.Action] = []
         self._alarm_ms = NEVER  # when the one timer that counts comes due
         self._alarms = 0
         self._woke_ms = -1.0  # the instant at which a standstill of ours was noticed
@@ -249,66 +228,61 @@
         self._least_worth = min(c.worth for c in settings.classes)
         holds = [c.hold_ms for c in settings.classes if c.hold_ms is not None]
         self._hold_ms = sum(holds) / len(holds) if holds else None
-        worths = sorted({c.worth * share for c in settings.classes for share in (1.0, c.late_worth)})
+        parts = {1.0, settings.over_quota_worth if self._parts else 1.0}
+        worths = sorted({c.worth * part * late for c in settings.classes for part in parts
+                         for late in (1.0, c.late_worth)})
         step = (HIGHEST_THRESHOLD - LOWEST_THRESHOLD) / max(1, len(worths) - 1)
         self._thresholds = {worth: LOWEST_THRESHOLD + step * rank for rank, worth in enumerate(worths)}
 
     # ------------------------------------------------------------------------------------------------ events
 
-    def handle(self, now_ms: float, event: Event) -> list[Action]:
+    def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         """Take one event and say what to do; a clock that steps back stands still."""
         self._now = max(self._now, now_ms)
         self._actions = []
         if self._now > self._alarm_ms + STALL_TICKS * self._tick_ms:
             # Exception (standstill): what a batch brings after one is read whole before time tells anything.
-            # Guards against our own pause passing for a server's; holds for a late timer of any cause.
             self._woke_ms = self._now
             self._alarm_ms = NEVER
             self._due(self._now + self._tick_ms)
         match event:
-            case Call():
+            case api.Call():
                 self._on_call(event)
-            case Established():
+            case api.Established():
                 self._on_established(event)
-            case AttemptEnded():
+            case api.AttemptEnded():
                 self._on_ended(event)
-            case TimerFired(token):
+            case api.TimerFired(token):
                 if token == f"look {self._alarms}":
                     self._alarm_ms = NEVER
                     self._look()
-            case ServerList():
+            case api.ServerList():
                 self._on_list(event)
                 self._look()
-            case CallerGone(call_id):
+            case api.CallerGone(call_id):
                 if call_id in self._calls:
                     self._forget(self._calls[call_id])
                 self._standing.pop(call_id, None)
-            case ProbeAnswered():
+            case api.ProbeAnswered():
                 self._on_probe(event)
-            case Hinted():
+            case api.Hinted():
                 self._on_hint(event)
-            case LinesTold():
+            case api.LinesTold():
                 view = self._servers.get(event.server_id)
                 if view is not None and 0 < event.lines < NEVER:
-                    view.lines = self._lines[view.pool] = event.lines
-                    if len(self._lines) > POOLS_MOST:
-                        del self._lines[next(iter(self._lines))]
+                    view.lines = event.lines
+                    self._note_told(view)
         return self._actions
 
     def learned(self) -> list[tuple[str, float | None, float | None, bool, bool, float]]:
-        """For a new instance: each server's id, start, rate (None: open), slow, silent, last word.
-
-        Slow is one whose usual answer takes as long as waiting does harm; a single late one tells little.
-        """
+        """For a new instance: each server's id, start, rate (None: open), whether slow, silent, last word."""
         return [(v.server_id, v.started_ms, v.bucket.rate if v.bucket.rate < NEVER else None,
                  (v.delay_ms or 0.0) >= self._silent_ms, v.silent,
                  max(v.heard_ms, v.silent_ms, v.tried_ms) if v.silent else v.heard_ms)
                 for v in self._servers.values()]
 
-    def _on_hint(self, hint: Hinted) -> None:
-        """Exception (learned start): a peer's word counts only before any of our own; a rate starts as a
-        cut, a shun as a silence that the first answer ends.  Guards a new gateway against slow servers.
-        """
+    def _on_hint(self, hint: api.Hinted) -> None:
+        """Exception (learned start): a peer's word counts only before any of our own."""
         view = self._servers.get(hint.server_id)
         if view is None or view.answered or view.pending:
             return
@@ -324,22 +298,21 @@
         if at_ms < self._alarm_ms:
             self._alarm_ms = max(at_ms, self._now + self._tick_ms)
             self._alarms += 1
-            self._actions.append(SetTimer(self._alarm_ms - self._now, f"look {self._alarms}"))
+            self._actions.append(api.SetTimer(self._alarm_ms - self._now, f"look {self._alarms}"))
 
-    def _on_list(self, event: ServerList) -> None:
+    def _on_list(self, event: api.ServerList) -> None:
         named = set()
         for entry in event.servers:
             named.add(entry.id)
             view = self._servers.get(entry.id)
-            if entry.state is ServerState.GONE:
+            if entry.state is api.ServerState.GONE:
                 if view is not None:
                     self._drop_server(view)
                 continue
             if view is None:
                 view = ServerView(entry, self._now, self._random.uniform(-0.5, 0.5))
-                # Exception (successors): until it tells its lines, it has those last told in its pool.
-                # Guards against all calls that are held leaving at once into an open bucket.
-                view.lines = self._lines.get(entry.pool)
+                # Exception (successors): until it tells its own, what was last told in its pool is its.
+                view.lines, view.capacity = self._told.get(entry.pool, (None, None))
                 self._servers[entry.id] = view
                 self._start_cold(view, entry.started_ms, self._settings.rules.warm_within_ms)
             elif entry.started_ms != view.started_ms:
@@ -351,37 +324,39 @@
             view.started_ms = entry.started_ms
             view.pool = entry.pool
             view.state = entry.state
-        if event.kind is not ListKind.CHANGES:
+        if event.kind is not api.ListKind.CHANGES:
             for view in [v for v in self._servers.values() if v.server_id not in named]:
                 self._drop_server(view)
 
     def _drop_server(self, view: ServerView) -> None:
-        view.state = ServerState.GONE
+        view.state = api.ServerState.GONE
         view.silent = True  # what waits there moves on
         del self._servers[view.server_id]
 
-    def _on_call(self, call: Call) -> None:
+    def _on_call(self, call: api.Call) -> None:
         call_class = self._classes.get(call.class_name)
         if call.id in self._calls or call.id in self._standing:
             return
         if call_class is None:
-            self._actions.append(Refuse(call.id))
+            self._actions.append(api.Refuse(call.id))
             return
-        first_ms = self._now
+        known = None
         if call.number is not None and not call.was_cut:
-            first_ms, _ = self._unserved.pop((call.number, call.class_name), (self._now, self._now))
-        state = self._calls[call.id] = CallState(call, call_class, self._now, first_ms)
+            known = self._unserved.pop((call.number, call.class_name), None)
+        first_ms, _, part = known or (self._now, self._now, self._part_of_worth(call))
+        state = self._calls[call.id] = CallState(call, call_class, self._now, first_ms, part)
         self._offer(state)
         if len(self._held) > HELD_MOST:
             self._refuse(min(self._held.values(), key=self._rank))
 
-    def _on_established(self, event: Established) -> None:
+    def _on_established(self, event: api.Established) -> None:
         view = self._servers.get(event.server_id)
         call = self._calls.get(event.call_id)
         if call is not None:
             if not call.has_out(event):
                 return
             self._standing[event.call_id] = self._calls.pop(event.call_id)
+            self._busy.pop(call.call.number, None)
         if view is None or event.call_id not in view.pending:
             return
         self._settle(view)
@@ -409,7 +384,7 @@
         if self._held:
             self._due(self._now + self._tick_ms)
 
-    def _on_ended(self, event: AttemptEnded) -> None:
+    def _on_ended(self, event: api.AttemptEnded) -> None:
         view = self._servers.get(event.server_id)
         call = self._calls.get(event.call_id) or self._standing.get(event.call_id)
         if call is not None and not call.has_out(event):
@@ -422,17 +397,18 @@
         if view is not None:
             self._settle(view)
             sent_ms = view.pending.pop(event.call_id, None)
-            if event.outcome in (Outcome.ENDED, Outcome.ERROR, Outcome.FULL):
+            if event.outcome in (api.Outcome.ENDED, api.Outcome.ERROR, api.Outcome.FULL):
                 view.heard_ms = self._now
+                self._on_report(view, event.report)
                 if sent_ms is not None:
                     view.heard_sent_ms = max(view.heard_sent_ms, sent_ms)
-            if event.outcome is Outcome.FULL:
+            if event.outcome is api.Outcome.FULL:
                 why = "it says it is full" if event.processor_full else "it has no line free"
                 self._cut(view, why, full=event.processor_full)
                 view.spared = None
             elif sent_ms is not None and event.outcome in WORKLESS:
                 view.bucket.give_back()
-            if event.outcome is Outcome.NO_CONNECTION:
+            if event.outcome is api.Outcome.NO_CONNECTION:
                 self._fall_silent(view, "no connection")
             self._look_soon()
         if call is None:
@@ -441,16 +417,34 @@
             self._forget(call)
             return
         call.server = None
+        if event.number_busy:
+            self._found_busy(call)
+            return
         call.failed_at = event.server_id
         call.cancelled = False
-        if event.outcome in (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED):
+        if event.outcome in (api.Outcome.TIMED_OUT, api.Outcome.RESET, api.Outcome.CANCELLED):
             call.not_before_ms = self._now + self._settings.rules.release_ms + self._settings.tick_ms
         self._offer(call)
 
-    def _on_probe(self, event: ProbeAnswered) -> None:
+    def _on_probe(self, event: api.ProbeAnswered) -> None:
         view = self._servers.get(event.server_id)
         if view is not None and event.answered:
             view.heard_ms = self._now
+            self._on_report(view, event.report)
+
+    def _on_report(self, view: ServerView, report: api.Report | None) -> None:
+        """Exception (load reports): what it can take, told without a wait, is an even share's whole."""
+        rate = report and report.rate_per_s
+        if rate and (report.wait_ms or 0.0) <= self._pressed_ms:
+            old = view.capacity if view.told_ms > -NEVER else None
+            view.capacity = rate if old is None else old + DELAY_WEIGHT * (rate - old)
+            view.told_ms = self._now
+            self._note_told(view)
+
+    def _note_told(self, view: ServerView) -> None:
+        self._told[view.pool] = view.lines, view.capacity
+        if len(self._told) > POOLS_MOST:
+            del self._told[next(iter(self._told))]
 
     # --------------------------------------------------------------------------------------- state of servers
 
@@ -462,7 +456,7 @@
             view.trial_times = TRIAL_TIMES
             if sent_ms >= view.silent_ms + SECOND_MS:
                 self._start_cold(view, self._now, CONFIRM_MS)
-            self._actions.append(Log(f"server {view.server_id}: answers again"))
+            self._actions.append(api.Log(f"server {view.server_id}: answers again"))
             self._due(self._now + self._tick_ms)  # what waits at other silent servers can move here
 
     def _fall_silent(self, view: ServerView, why: str) -> None:
@@ -470,7 +464,7 @@
             view.silent = True
             view.silent_ms = self._now
             view.trial_ms = self._now + self._trial_wait(view)
-            self._actions.append(Log(f"server {view.server_id}: taken for silent: {why}"))
+            self._actions.append(api.Log(f"server {view.server_id}: taken for silent: {why}"))
 
     def _trial_wait(self, view: ServerView) -> float:
         """All gateways together try a silent server about as often as a few would, and not in step."""
@@ -479,10 +473,10 @@
         return gap_ms * (1.0 if part == 1.0 else self._random.uniform(0.5, 1.5) / part)
 
     def _fair(self, view: ServerView) -> float | None:
-        """This gateway's even share of the calls a second that fill a server's lines."""
-        if not view.lines or self._hold_ms is None:
-            return None
-        return view.lines * SECOND_MS / self._hold_ms / self._settings.instances
+        """This gateway's even share of what a server takes a second, by its reports and its lines."""
+        by_lines = view.lines * SECOND_MS / self._hold_ms if view.lines and self._hold_ms else None
+        whole = min(filter(None, (by_lines, view.capacity)), default=None)
+        return whole and whole / self._settings.instances
 
     def _part(self, view: ServerView) -> float:
         """This gateway's part of the one call a second that the rate rule never goes below or grows by."""
@@ -490,7 +484,7 @@
         return min(1.0, FEW_GATEWAYS / self._settings.instances if fair is None else FAIR_PART * fair)
 
     def _start_cold(self, view: ServerView, started_ms: float | None, for_ms: float) -> None:
-        """Rule 4: from its start until it is surely warm, or surely did not start, a server has a budget."""
+        """Rule 4: from its start until it is surely warm, or did not start, a server has a budget."""
         if started_ms is None:
             return
         until_ms = started_ms + min(for_ms, self._settings.rules.warm_within_ms)
@@ -509,17 +503,18 @@
         return rules.cold_share + (1 - rules.cold_share) * age
 
     def _cold_rate(self, view: ServerView) -> float:
-        """What we may send a cold server each second.
+        """What we may send a cold server each second: by our even share of it, or by what it answers us now.
 
-        The share that it surely has of our even share of its lines, or a multiple of what it answers us now:
-        over all gateways neither is more than a multiple of what it can do, however uneven they are and
-        whatever its size.  Without told lines the rule's floor is shared by all gateways to begin with.
+        Over all gateways neither is more than the rule's multiple of what it can do, however uneven they are.
         """
         rules = self._settings.rules
-        multiple = COLD_SAFETY * rules.tip_multiple
-        known = multiple * self._share(view) * (self._fair(view) or 0.0)
+        if self._now < view.told_ms + FRESH_MS:
+            safe = COLD_BY_REPORT
+        else:
+            safe = self._share(view) * (COLD_BY_LINES if view.capacity is None else COLD_BY_POOL)
+        known = safe * rules.tip_multiple * (self._fair(view) or 0.0)
         proven = max(0.0, view.lately(self._now) - SECOND_MS / LOOK_BACK_MS)  # a single answer is chance
-        return max(FLOOR_RATE / self._settings.instances, known, multiple * proven)
+        return max(FLOOR_RATE / self._settings.instances, known, min(COLD_TIMES, rules.tip_multiple) * proven)
 
     def _settle(self, view: ServerView) -> None:
         """Bring a bucket up to now: what leaked, and what its rate grew in quiet seconds.
@@ -540,8 +535,7 @@
             if bucket.rate * self._tick_ms > MAX_FILL * SECOND_MS:  # it empties within a tick
                 bucket.rate = NEVER
         # Exception (fleet size): no bucket leaks faster than some even shares, or so many times what the
-        # server answers us.  Guards against a bucketful of each of hundreds of gateways before any sees
-        # pressure; harms a gateway that suddenly gets most of the calls, until their answers widen it.
+        # server answers us: a gateway that suddenly gets most of the calls waits until answers widen it.
         if (fair := self._fair(view)) is not None:
             lately = view.lately(self._now)
             seen = len(view.answered) >= ENOUGH_ANSWERS
@@ -556,8 +550,7 @@
         view.cut_ms = self._now
         rate = max(FLOOR_RATE * self._part(view), view.answered_rate(self._now) * SPLASH)
         # Exception (newly met): while answers are too few to go by, a sign that is no 'processor full' cuts
-        # to an even share of the lines.  Guards against a start at the floor, from which growth takes most
-        # of a minute; harms a server that is jammed when we meet it, until it says so.
+        # to an even share.
         if not full and self._now < view.met_ms + LOOK_BACK_MS:
             rate = max(rate, self._fair(view) or 0.0)
         if view.spared is None:
@@ -565,14 +558,10 @@
         view.bucket.rate = min(rate, view.bucket.rate)
         if self._now - view.logged_ms >= LOG_EVERY_MS:
             view.logged_ms = self._now
-            self._actions.append(Log(f"server {view.server_id}: pressed, {why}: rate {rate:.1f}/s"))
+            self._actions.append(api.Log(f"server {view.server_id}: pressed, {why}: rate {rate:.1f}/s"))
 
     def _ease(self, view: ServerView, sent_ms: float, waited_ms: float) -> None:
-        """Exception (eased cuts): one that no 'full' has borne out lasts only while answers wait.
-
-        Guards against a short wait, or answers that were lost, costing a busy gateway most of its calls for
-        the many seconds that a rate takes to grow back, at a server whose answers come at once.
-        """
+        """Exception (eased cuts): one that no 'full' has borne out lasts only while answers wait."""
         calm = sent_ms > view.cut_ms and waited_ms <= (view.least_ms or 0.0) + CALM_SHARE * self._pressed_ms
         view.calm = view.calm + 1 if calm else 0
         if view.spared is not None and view.calm >= ENOUGH_ANSWERS:
@@ -581,12 +570,7 @@
             view.spared = view.spared if view.spared > view.bucket.rate else None
 
     def _overdue(self, view: ServerView) -> float:
-        """How long an answer may take before it tells of pressure.
-
-        The wait at the processor is what counts, so the way there and back comes on top: the least that an
-        answer has taken.  Guards against a distant server, whose
-        answers can never come sooner, passing for a pressed one.
-        """
+        """How long an answer may take before it tells of pressure, over the way there and back."""
         return self._pressed_ms + (view.least_ms or 0.0)
 
     def _cut_gap(self, view: ServerView) -> float:
@@ -610,7 +594,17 @@
 
     def _worth(self, call: CallState) -> float:
         late = self._now >= call.aim_ms
-        return call.call_class.worth * (call.call_class.late_worth if late else 1.0)
+        return call.call_class.worth * call.part * (call.call_class.late_worth if late else 1.0)
+
+    def _part_of_worth(self, call: api.Call) -> float:
+        """Exception (customers' shares): each call credits all with their parts and takes one of its own."""
+        if call.contract not in self._parts:
+            return 1.0
+        for name, part in self._parts.items():
+            self._credit[name] = min(CREDIT_MOST, self._credit[name] + part)
+        within = self._credit[call.contract] >= 1.0
+        self._credit[call.contract] -= within
+        return 1.0 if within else self._settings.over_quota_worth
 
     def _rank(self, call: CallState) -> tuple[float, float]:
         """Most worth first; among equals the newest, which has most of its aim left."""
@@ -619,17 +613,16 @@
     def _forget(self, call: CallState) -> None:
         """Drop an unserved call, remembering when it first came.
 
-        Exception (redials): guards against taking a redial for a fresh call: its aim runs from the first try.
-        Holds for any caller back under the same number and class; harms a second caller to a number that was
-        just given up by another, whose call then ranks as late.
+        Exception (redials): the aim of a caller back under its number and class runs from the first try;
+        harms a second caller to a number that was just given up by another, whose call then ranks as late.
         """
         del self._calls[call.call.id]
         self._held.pop(call.call.id, None)
         if call.call.number is None:
             return
-        self._unserved[call.call.number, call.call_class.name] = call.first_ms, self._now
+        self._unserved[call.call.number, call.call_class.name] = call.first_ms, self._now, call.part
         for _ in range(2):  # two out for one in: bounded and cheap
-            _, noted_ms = next(iter(self._unserved.values()), (0.0, self._now))
+            _, noted_ms, _ = next(iter(self._unserved.values()), (0.0, self._now, 1.0))
             if noted_ms < self._now - self._memory_ms or len(self._unserved) > REDIALS_MOST:
                 self._unserved.popitem(last=False)
 
@@ -637,7 +630,20 @@
         """Refuse it; callers who heed the wait are spread over its second half, not back together."""
         self._forget(call)
         wait_ms = self._settings.retry_after_max_ms
-        self._actions.append(Refuse(call.call.id, wait_ms and wait_ms * self._random.uniform(0.5, 1.0)))
+        self._actions.append(api.Refuse(call.call.id, wait_ms and wait_ms * self._random.uniform(0.5, 1.0)))
+
+    def _is_busy(self, call: CallState) -> bool:
+        return self._busy.get(call.call.number, (0.0, 0.0))[0] > self._now
+
+    def _found_busy(self, call: CallState) -> None:
+        """Exception (busy numbers): no server has a line to it, so none is tried for a while that doubles."""
+        number = call.call.number
+        if number is not None:
+            _, gap_ms = self._busy.pop(number, (0.0, BUSY_MS))
+            self._busy[number] = self._now + gap_ms, min(2 * gap_ms, BUSY_MOST_MS)
+            if len(self._busy) > BUSY_MOST:
+                del self._busy[next(iter(self._busy))]
+        self._refuse(call)
 
     def _ends_ms(self, call: CallState) -> float:
         return call.call.gives_up_ms - call.margin_ms - MARGIN_TICKS * self._tick_ms
@@ -682,7 +688,7 @@
         """Whether a call that waits in vain has time and somewhere to go."""
         return (self._settings.cancel_allowed and call.attempts < self._settings.max_attempts
                 and self._now + self._settings.rules.release_ms < self._ends_ms(call)
-                and any(self._open(v, call) for v in self._servers.values()))
+                and any(self._serves(v, call) and not v.silent for v in self._servers.values()))
 
     def _end(self, call: CallState) -> None:
         """Rule 1: the caller's time is nearly up."""
@@ -690,16 +696,16 @@
             self._cancel(call)
             call.server.pending.pop(call.call.id, None)
         self._forget(call)
-        self._actions.append(Fail(call.call.id))
+        self._actions.append(api.Fail(call.call.id))
 
     def _cancel(self, call: CallState) -> None:
         if self._settings.cancel_allowed and not call.cancelled:
             call.cancelled = True
-            self._actions.append(Cancel(call.call.id, call.attempts - 1))
+            self._actions.append(api.Cancel(call.call.id, call.attempts - 1))
 
     def _offer(self, call: CallState) -> None:
         """What becomes of a call without an attempt out: an end, an attempt, or it is held for one."""
-        if call.attempts >= self._settings.max_attempts:
+        if call.attempts >= self._settings.max_attempts or self._is_busy(call):
             self._refuse(call)
         elif self._now >= self._ends_ms(call):
             self._end(call)
@@ -725,8 +731,7 @@
         # Exception (silence): one set-up at a time tries whether a silent server is back.
         if self._worth(call) <= self._least_worth:
             yield from (v for v in serving if v.silent and self._now >= v.trial_ms and not v.pending)
-        # Exception (failures): after a failed attempt other servers come first, the same one last.  Guards
-        # against a server that fails what it gets, fast, for any cause; still uses one that fails a part.
+        # Exception (failures): after a failed attempt other servers come first, the same one last.
         again = [v for v in serving if v.server_id == call.failed_at]
         first = [v for v in serving if v.pool == call.call.first_choice and v not in again]
         yield from (v for v in first if self._admits(v, call))
@@ -735,11 +740,7 @@
         yield from (v for v in again if self._admits(v, call))
 
     def _draw_two(self, others: list[ServerView]) -> list[ServerView]:
-        """Two at random.
-
-        Exception (fleet size): each with the weight of our part of it, which is one for all in a small fleet.
-        Guards against hundreds of gateways passing a large server's load evenly to small ones.
-        """
+        """Two at random; Exception (fleet size): each with the weight of our part of it."""
         if len(others) <= DRAWN:
             return others
         first = self._random.choices(others, [self._part(v) for v in others])[0]
@@ -748,10 +749,7 @@
 
     def _serves(self, view: ServerView, call: CallState) -> bool:
         pools = call.call_class.pools
-        return view.state is ServerState.READY and (pools is None or view.pool in pools)
-
-    def _open(self, view: ServerView, call: CallState) -> bool:
-        return self._serves(view, call) and not view.silent
+        return view.state is api.ServerState.READY and (pools is None or view.pool in pools)
 
     def _admits(self, view: ServerView, call: CallState) -> bool:
         self._settle(view)
@@ -759,7 +757,7 @@
                 and view.bucket.admits(self._thresholds[self._worth(call)]))
 
     def _warm_at(self, view: ServerView) -> float:
-        """When a server may have the next set-up: a cold one gets them one by one, evenly spaced."""
+        """When a server may have the next set-up: a cold one gets them evenly spaced."""
         if view.cold_until_ms <= self._now:
             return self._now
         view.cold.rate = self._cold_rate(view)
@@ -774,8 +772,8 @@
             return False
         if call.server is not None or call.attempts >= self._settings.max_attempts:  # 2: one at a time
             return False
-        if view.state is not ServerState.READY or self._servers.get(view.server_id) is not view:  # 3: drains
-            return False
+        if self._servers.get(view.server_id) is not view or view.state is not api.ServerState.READY:
+            return False  # 3: drains
         if self._warm_at(view) > now:  # 4: a cold server's budget
             return False
         if now < call.not_before_ms:  # 5: release awaited
@@ -787,8 +785,11 @@
         view.cold.add()
         view.bucket.add()
         view.pending[call.call.id] = view.tried_ms = now
+        if call.call.number in self._busy:
+            gap_ms = self._busy[call.call.number][1]
+            self._busy[call.call.number] = now + gap_ms, gap_ms
         call.server = view
         call.attempts += 1
-        self._actions.append(SetUp(call.call.id, view.server_id, left_ms))
+        self._actions.append(api.SetUp(call.call.id, view.server_id, left_ms))
         self._due(min(now + self._overdue(view), self._ends_ms(call)))
         return True
--- a/canvasplank/settings.py
+++ b/canvasplank/settings.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Annotated, Any
 
 import msgspec
@@ -23,6 +23,7 @@
     "queue": api.ReportField.QUEUE,
     "latency_ms": api.ReportField.WAIT_MS,
     "can_take": api.ReportField.RATE_PER_S,
+    "qps": api.ReportField.RATE_PER_S,
     "hold_back": api.ReportField.HOLD_BACK,
 }
 
@@ -95,10 +96,39 @@
     """What a set-up may ask for, by the settings: classes, pools and circuits.  None: they do not say."""
 
     classes: frozenset[str]
+    tenants: frozenset[str]  # empty where the settings name none: then nothing is read of them
     pools: frozenset[int] | None
     most_width: int | None
 
 
+class Gauges:
+    """Reads what servers tell of themselves, in the columns that the settings name.
+
+    The first two are a group's free lines and all its lines, whatever the settings call them: a deployment
+    may name them otherwise than another, and reading them by name alone left its servers without lines.
+    """
+
+    def __init__(self, columns: Iterable[str]) -> None:
+        self._columns = tuple(columns)
+        self._free, self._size = (*self._columns, "", "")[:2]
+
+    def lines(self, figures: Mapping[str, float]) -> tuple[float, float] | None:
+        """Free lines and all lines, where both are told."""
+        free, size = known(figures.get(self._free)), known(figures.get(self._size))
+        return None if free is None or size is None else (free, size)
+
+    def report(self, figures: Mapping[str, float], wait_ms: float | None = None) -> api.Report | None:
+        """The load figures that the library understands; others are passed over.
+
+        ``wait_ms`` is a wait at the processor told elsewhere, taken where the figures hold none.
+        """
+        values = {REPORT_FIELDS[name].value: value for name in self._columns
+                  if name in REPORT_FIELDS and (value := known(figures.get(name))) is not None}
+        if wait_ms is not None:
+            values.setdefault(api.ReportField.WAIT_MS.value, wait_ms)
+        return api.Report(**values) if values else None
+
+
 NOTICE = msgspec.json.Decoder(Notice)
 
 _STATES = {
@@ -150,6 +180,14 @@
         raise ConfigurationError(f"settings: ceilings: {fault}") from None
 
 
+def read_gauges(options: dict[str, Any]) -> Gauges:
+    """The columns of servers' reports."""
+    try:
+        return Gauges(msgspec.convert(options["load_report"]["names"], list[str]))
+    except (KeyError, TypeError, msgspec.ValidationError) as fault:
+        raise ConfigurationError(f"settings: load_report: {fault}") from None
+
+
 def read_figures(settings: api.Settings, options: dict[str, Any]) -> Figures:
     """The bounds that the network side holds a caller's set-up to."""
     pools = [c.pools for c in settings.classes]
@@ -159,6 +197,7 @@
         raise ConfigurationError(f"settings: widths: {fault}") from None
     return Figures(
         classes=frozenset(c.name for c in settings.classes),
+        tenants=frozenset(c.name for c in settings.contracts),
         pools=None if None in pools else frozenset(number for each in pools for number in each),
         most_width=max(widths) if widths else None,
     )
--- a/canvasplank/wirehost.py
+++ b/canvasplank/wirehost.py
@@ -13,7 +13,7 @@
 
 from canvasplank import interface as api
 from canvasplank.policy import Controller
-from canvasplank.settings import REPORT_FIELDS, known, read_settings
+from canvasplank.settings import Gauges, known, read_gauges, read_settings
 
 _OUTCOMES = {
     "GOOD": api.Outcome.ENDED,
@@ -36,7 +36,8 @@
     "cached": api.ListKind.CACHED,
 }
 _REDIALLED, _WAS_CUT = 2, 16  # bits of a request's flags
-_NOTE_MASK, _NOTE_PROCESSOR_FULL = 15, 3  # above the mask a wait may be coded
+_NOTE_BITS, _NOTE_PROCESSOR_FULL, _NOTE_NUMBER_BUSY = 4, 3, 4  # above the bits a wait may be coded
+_NOTE_MASK = 15
 
 
 class WireError(Exception):
@@ -49,6 +50,7 @@
     def __init__(self) -> None:
         self._controllers: dict[int, Controller] = {}
         self._columns: dict[int, tuple[str, ...]] = {}
+        self._gauges: dict[int, Gauges] = {}
         self._lists: dict[int, tuple[api.Server, ...]] = {}
         self._readers: dict[str, Callable[[list[Any]], api.Event | None]] = {
             "update": self._update,
@@ -73,10 +75,11 @@
                 if name == "configure":
                     settings = read_settings(message[3])
                     self._columns[instance] = tuple(message[3]["load_report"]["names"])
+                    self._gauges[instance] = read_gauges(message[3])
                     self._controllers[instance] = Controller(settings, message[2])
                     continue
                 if name == "shutdown":
-                    del self._controllers[instance], self._columns[instance]
+                    del self._controllers[instance], self._columns[instance], self._gauges[instance]
                     continue
                 controller = self._controllers[instance]
                 reader = self._readers[name]
@@ -121,14 +124,16 @@
 
     def _settled(self, message: list[Any]) -> api.Event:
         _, instance, call, attempt, server, code, _waited, finished, note, row = message
+        reason, wait_ms = (note or 0) & _NOTE_MASK, (note or 0) >> _NOTE_BITS
         return api.AttemptEnded(
             call_id=call,
             attempt=attempt,
             server_id=server,
             outcome=_OUTCOMES[code],
             finished=bool(finished),
-            processor_full=code == "FULL" and (note or 0) & _NOTE_MASK == _NOTE_PROCESSOR_FULL,
-            report=self._report(instance, row),
+            processor_full=code == "FULL" and reason == _NOTE_PROCESSOR_FULL,
+            number_busy=code == "BAD" and reason == _NOTE_NUMBER_BUSY,
+            report=self._report(instance, row, wait_ms or None),
         )
 
     def _echo(self, message: list[Any]) -> api.Event | None:
@@ -137,19 +142,15 @@
         report = self._report(instance, row)
         if waited or report is not None or code != "GOOD":
             return api.ProbeAnswered(server, code == "GOOD", report)
-        told = dict(zip(self._columns[instance], row or (), strict=False))
-        free, lines = known(told.get("free")), known(told.get("size"))
-        return None if free is None or lines is None else api.LinesTold(server, free, lines)
+        lines = self._gauges[instance].lines(self._told(instance, row))
+        return None if lines is None else api.LinesTold(server, *lines)
 
-    def _report(self, instance: int, row: list[float | None] | None) -> api.Report | None:
-        if row is None:
-            return None
-        values = {
-            REPORT_FIELDS[name].value: known(value)
-            for name, value in zip(self._columns[instance], row, strict=False)
-            if name in REPORT_FIELDS
-        }
-        return api.Report(**values) if any(value is not None for value in values.values()) else None
+    def _told(self, instance: int, row: list[float | None] | None) -> dict[str, float | None]:
+        return dict(zip(self._columns[instance], row or (), strict=False))
+
+    def _report(self, instance: int, row: list[float | None] | None,
+                wait_ms: float | None = None) -> api.Report | None:
+        return self._gauges[instance].report(self._told(instance, row), wait_ms)
 
 
 def _encode(instance: int, action: api.Action) -> list[Any]:
--- a/tests/player.py
+++ b/tests/player.py
@@ -5,6 +5,7 @@
 
     known a ready            a call server that listens and is in the list at the start; pools count from 0
     known b refused|never    one whose address refuses connections, or whose connections never come up
+    settings JSON            what the settings say otherwise, key by key, from the next start on
     start                    run the program; server a accepts the connection that is kept up to it
     caller 1 sends BYTES     connects where it is not connected yet
     caller 1 gets BYTES      the next bytes, exactly these
@@ -161,6 +162,7 @@
         self.parties: dict[str, Party] = {"board": Party(listens=True)}
         self.known: list[dict] = []
         self.listen = ""
+        self.settings = SETTINGS
         self.process: subprocess.Popen | None = None
         self.log = folder / "log"
 
@@ -178,7 +180,7 @@
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.listen = f"127.0.0.1:{free.getsockname()[1]}"
         configuration = {
-            "name": "n0", "listen": self.listen, "seed": "8c1f30d27a5be964", "settings": SETTINGS,
+            "name": "n0", "listen": self.listen, "seed": "8c1f30d27a5be964", "settings": self.settings,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 64}, "board": self.parties["board"].address,
             "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"reset": True, "instances": self.known}}]},
         } | changes
@@ -231,6 +233,10 @@
         match words:
             case ["known", name, how]:
                 self.add(name, how)
+            case ["settings", *rest]:
+                for key, value in json.loads(" ".join(rest)).items():
+                    old = self.settings.get(key)
+                    self.settings = self.settings | {key: old | value if isinstance(old, dict) else value}
             case ["start"]:
                 self.start()
             case ["caller", number, verb, *rest]:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -32,7 +32,7 @@
         for function in ast.walk(tree("policy.py"))
         if isinstance(function, ast.FunctionDef)
         for node in ast.walk(function)
-        if isinstance(node, ast.Call) and isinstance(node.func, ast.Name) and node.func.id == "SetUp"
+        if isinstance(node, ast.Call) and ast.unparse(node.func) in ("SetUp", "api.SetUp")
     ]
     assert builders == ["_gate"]
 
@@ -40,11 +40,11 @@
 def test_policy_reads_no_clock_and_shares_nothing():
     source = (PACKAGE / "policy.py").read_text()
     imported = {
-        alias.name if isinstance(node, ast.Import) else node.module
+        f"canvasplank.{alias.name}" if node.module == PACKAGE_NAME else node.module
         for node in ast.walk(tree("policy.py"))
-        if isinstance(node, ast.Import | ast.ImportFrom)
+        if isinstance(node, ast.ImportFrom)
         for alias in node.names
-    }
+    } | {a.name for node in ast.walk(tree("policy.py")) if isinstance(node, ast.Import) for a in node.names}
     assert imported <= {"__future__", "random", "collections", "collections.abc", "canvasplank.interface"}
     assert set(re.findall(r"\brandom\.(\w+)", source)) <= {"Random"} | set(
         re.findall(r"_random\.(\w+)", source)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -560,3 +560,147 @@
         g.until(g.now + 70)
         g.answer(call_id, "a", waited_ms=70)
         assert g.controller._servers["a"].bucket.rate == policy.NEVER
+
+
+def report(rate_per_s=None, wait_ms=0.0):
+    return api.Report(wait_ms=wait_ms, rate_per_s=rate_per_s)
+
+
+def busy(gateway, call_id, server="a"):
+    return gateway.end(call_id, server, Outcome.ERROR, number_busy=True)
+
+
+class TestBusyNumbers:
+    """A flood for one thin number must cost nobody else."""
+
+    def test_is_refused_at_once_with_a_spread_wait_and_tried_nowhere_else(self, gateway):
+        call_id, _ = gateway.call(number="thin")
+        actions = busy(gateway, call_id)
+        assert not sent_to(actions)
+        waits = [answers(actions)[0].retry_after_ms]
+        waits += [answers(gateway.call(number="thin")[1])[0].retry_after_ms for _ in range(20)]
+        most = SETTINGS.retry_after_max_ms
+        assert most / 2 <= min(waits) < max(waits) <= most and len(set(waits)) > 10
+
+    def test_one_call_at_a_time_tries_again_after_gaps_that_double(self, gateway):
+        call_id, _ = gateway.call(number="thin")
+        busy(gateway, call_id)
+        gap_ms = policy.BUSY_MS
+        for _ in range(6):
+            assert answers(gateway.call(number="thin")[1])
+            gateway.until(gateway.now + gap_ms)
+            tries = [gateway.call(number="thin") for _ in range(5)]
+            assert sum(bool(sent_to(actions)) for _, actions in tries) == 1
+            busy(gateway, tries[0][0])
+            gap_ms = min(2 * gap_ms, policy.BUSY_MOST_MS)
+
+    def test_a_call_that_stands_ends_it(self, gateway):
+        call_id, _ = gateway.call(number="thin")
+        busy(gateway, call_id)
+        gateway.until(gateway.now + policy.BUSY_MS)
+        call_id, _ = gateway.call(number="thin")
+        gateway.answer(call_id, "a")
+        assert sent_to(gateway.call(number="thin")[1])
+
+    def test_other_numbers_and_calls_without_one_go_on(self, gateway):
+        call_id, _ = gateway.call(number="thin")
+        busy(gateway, call_id)
+        for number in ("other", None):
+            call_id, actions = gateway.call(number=number)
+            assert sent_to(actions) == ["a"]
+            gateway.answer(call_id, "a")
+        assert answers(busy(gateway, gateway.call(number=None)[0])), "an end all the same"
+
+    def test_they_are_forgotten_past_a_number_of_them(self, gateway):
+        for number in range(policy.BUSY_MOST + 50):
+            call_id, actions = gateway.call(number=str(number))
+            busy(gateway, call_id, *sent_to(actions))
+        assert len(gateway.controller._busy) == policy.BUSY_MOST
+
+
+class TestReports:
+    """What servers tell of their load."""
+
+    @pytest.mark.parametrize("told", [None, report(), report(0.0), report(20.0, wait_ms=900.0)])
+    def test_one_that_tells_nothing_of_what_can_be_taken_changes_nothing(self, gateway, told):
+        call_id, _ = gateway.call()
+        gateway.answer(call_id, "a")
+        view = gateway.controller._servers["a"]
+        gateway.end(call_id, "a", Outcome.ENDED, finished=True, report=told)
+        assert view.capacity is None and gateway.controller._fair(view) is None
+
+    def test_it_sets_the_even_share_where_lines_promise_more(self, gateway):
+        gateway.tell(api.LinesTold("a", 200, 200))
+        settings_of = gateway.controller._settings
+        view = gateway.controller._servers["a"]
+        gateway.tell(api.ProbeAnswered("a", answered=True, report=report(8.0)))
+        assert gateway.controller._fair(view) == pytest.approx(8.0 / settings_of.instances)
+
+    def test_one_from_before_a_slowdown_does_not_keep_a_rate_open(self, gateway):
+        gateway.steady("a", 0, 8)
+        gateway.tell(api.ProbeAnswered("a", answered=True, report=report(50.0)))
+        for _ in range(4):
+            gateway.call(first=0)
+            gateway.until(gateway.now + 100)
+        gateway.until(gateway.now + 1000)
+        assert gateway.controller._servers["a"].bucket.rate < 50.0
+
+    @pytest.mark.parametrize(
+        ("told", "most_share"),
+        [(None, policy.COLD_BY_POOL * RULES.cold_share), (30.0, policy.COLD_BY_REPORT)],
+        ids=["by its predecessor's word", "by its own"],
+    )
+    def test_a_cold_successors_budget_over_all_gateways_keeps_the_rule(self, gateway, told, most_share):
+        gateway.tell(api.ProbeAnswered("a", answered=True, report=report(100.0)))
+        gateway.servers(gone("a", 0), ready("c", 0, started_ms=gateway.now))
+        view = gateway.controller._servers["c"]
+        if told:
+            gateway.tell(api.ProbeAnswered("c", answered=True, report=report(told)))
+        sum_of_all = gateway.controller._cold_rate(view) * SETTINGS.instances
+        assert sum_of_all == pytest.approx(most_share * RULES.tip_multiple * (told or 100.0), rel=0.01)
+        assert sum_of_all < RULES.tip_multiple * (told or RULES.cold_share * 100.0)
+
+    def test_a_cold_servers_answers_widen_its_budget_whatever_the_rules_multiple(self):
+        """With a multiple of 2 the budget shrank below what the server had just answered."""
+        g = Gateway(settings(rules=replace(RULES, tip_multiple=2.0)))
+        g.servers(ready("a", 0, started_ms=0.0))
+        view = g.controller._servers["a"]
+        view.answered.extend(g.now + policy.LOOK_BACK_MS * i / 40 for i in range(40))
+        g.now = policy.LOOK_BACK_MS - 100
+        g.controller.handle(g.now, api.CallerGone("nobody"))
+        assert g.controller._cold_rate(view) > view.lately(g.now) > 0
+
+
+class TestMembers:
+    """Customers with shares."""
+
+    MEMBERS = (api.Contract("big", 9.0), api.Contract("small", 1.0))
+
+    def worths(self, contracts):
+        g = Gateway(settings(contracts=self.MEMBERS, over_quota_worth=0.2))
+        worths = []
+        for contract in contracts:
+            call_id, _ = g.call(contract=contract)
+            worths.append(g.controller._worth(g.controller._calls[call_id]))
+            g.until(g.now + 100)
+        return worths
+
+    def test_what_goes_past_a_share_is_worth_less(self):
+        worths = self.worths(["big", "small"] * 50)
+        assert set(worths[0::2]) == {1.0}, "less than its part of the traffic"
+        assert worths[21::2].count(0.2) == pytest.approx(40 * 0.8, abs=2), "a half, where a tenth is its own"
+
+    def test_within_the_shares_all_are_worth_the_whole(self):
+        assert set(self.worths((["big"] * 9 + ["small"]) * 10)) == {1.0}
+
+    @pytest.mark.parametrize("unknown", [None, "nobody"])
+    def test_a_member_that_the_settings_do_not_know_has_no_share_to_pass(self, unknown):
+        assert set(self.worths([unknown] * 30)) == {1.0}
+
+    def test_a_redial_counts_with_its_first_try(self):
+        g = Gateway(settings(contracts=self.MEMBERS, over_quota_worth=0.2))
+        for _ in range(30):
+            call_id, _ = g.call(contract="small", number="n")
+            part = g.controller._calls[call_id].part
+            g.tell(api.CallerGone(call_id))
+        assert part == 1.0, "thirty tries of one call"
