Parts of one life cycle, one engine for both databases, and fleet-wide budgets under leases

Need: __main__ gained a method with each subsystem, and each had its own way to open a database; the operators ask for budgets that the whole fleet shares and that never sum to more than the whole.

--- /dev/null
+++ b/canvasplank/engine/__init__.py
@@ -0,0 +1,1 @@
+"""The databases that the store of record and the coordination of the fleet share."""
--- /dev/null
+++ b/canvasplank/engine/sqlite.py
@@ -0,0 +1,100 @@
+"""An SQLite file, for one machine; the library's calls block, so one thread makes them all."""
+
+from __future__ import annotations
+
+import contextlib
+import sqlite3
+from collections.abc import Callable, Iterator
+from typing import TypeVar
+
+from canvasplank.background import BusyError, Thread
+from canvasplank.engine.errors import NewerSchemaError, StoreRefusedError, StoreUnavailableError
+from canvasplank.engine.migrations import Schema
+
+BUSY_S = 1.0  # how long the library waits for another writer's lock before it says so
+REFUSALS = (sqlite3.IntegrityError, sqlite3.DataError, sqlite3.InterfaceError, OverflowError, ValueError)
+
+Result = TypeVar("Result")
+
+
+class SqliteEngine:
+    """One file with one subsystem's tables; every method raises one of the errors of ``engine.errors``."""
+
+    def __init__(self, path: str, schema: Schema, thread: str) -> None:
+        self._path, self._schema, self._name = path, schema, thread
+        self._thread: Thread | None = None
+        self._connection: sqlite3.Connection | None = None
+
+    async def do(self, what: Callable[[sqlite3.Connection], Result]) -> Result:
+        """Have it done on the thread, with the connection."""
+        return await self._on_thread(lambda: what(self._current))
+
+    async def open(self) -> None:
+        """Connect and bring the tables up to date."""
+        await self._on_thread(self._open)
+
+    async def close(self) -> None:
+        """Let go of it; it may be opened again."""
+        with contextlib.suppress(StoreUnavailableError, StoreRefusedError):
+            await self._on_thread(self._close)
+
+    async def _on_thread(self, what: Callable[[], Result]) -> Result:
+        self._thread = self._thread or Thread(self._name)
+        try:
+            return await self._thread.do(what)
+        except BusyError as fault:
+            raise StoreUnavailableError(f"SQLite {self._path}: {fault}") from None
+        except REFUSALS as fault:
+            raise StoreRefusedError(f"SQLite: {fault}") from None
+        except (sqlite3.Error, NewerSchemaError) as fault:
+            raise StoreUnavailableError(f"SQLite {self._path}: {fault}") from None
+
+    @property
+    def _current(self) -> sqlite3.Connection:
+        if self._connection is None:
+            raise StoreUnavailableError("SQLite: not open")
+        return self._connection
+
+    def _open(self) -> None:
+        self._close()
+        connection = sqlite3.connect(self._path, timeout=BUSY_S, isolation_level=None)
+        try:
+            connection.execute("PRAGMA journal_mode = WAL")
+            connection.execute("PRAGMA synchronous = FULL")  # what was written outlives the power
+            self._migrate(connection)
+        except BaseException:
+            connection.close()
+            raise
+        self._connection = connection
+
+    def _migrate(self, connection: sqlite3.Connection) -> None:
+        with transaction(connection):  # the lock: one process migrates, the others find it done
+            connection.execute(self._schema.create_version)
+            [version] = connection.execute(self._schema.read_version).fetchone()
+            for number in self._schema.pending(version):
+                for statement in self._schema.migrations[number]:
+                    connection.execute(statement)
+                connection.execute(own(self._schema.write_version), (number + 1,))
+
+    def _close(self) -> None:
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.close()
+
+
+@contextlib.contextmanager
+def transaction(connection: sqlite3.Connection) -> Iterator[None]:
+    """All or nothing, with the file's one write lock from the start."""
+    connection.execute("BEGIN IMMEDIATE")
+    try:
+        yield
+        connection.execute("COMMIT")
+    except BaseException:
+        with contextlib.suppress(sqlite3.Error):
+            connection.execute("ROLLBACK")
+        raise
+
+
+def own(statement: str) -> str:
+    """The statement with SQLite's numbered parameters, and without locks that its file has anyway."""
+    return statement.replace("$", "?").replace(" FOR UPDATE", "")
--- /dev/null
+++ b/canvasplank/fleet/config.py
@@ -0,0 +1,96 @@
+"""The budgets and the store behind them, from a file of its own (TOML) named by ``CANVASPLANK_FLEET``."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+from urllib.parse import urlsplit
+
+import msgspec
+
+from canvasplank.fleet.backend import Backend
+from canvasplank.fleet.holder import Lease, Terms
+from canvasplank.fleet.spending import Kind, Scope
+from canvasplank.switch import load_switch
+
+Milliseconds = Annotated[float, msgspec.Meta(gt=0, le=600_000)]
+SCHEMES = ("postgresql", "postgres")
+THOUSANDTHS = 1000
+
+
+class Budget(msgspec.Struct, forbid_unknown_fields=True):
+    """One rate that the whole fleet may use together."""
+
+    name: Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+    kind: Kind
+    whole_per_s: Annotated[float, msgspec.Meta(gt=0, le=1_000_000)]
+    of: str = ""  # kind member: which; kind server: its instanceId
+    kept_back: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1  # of the whole, for proxies without a lease
+
+
+class Fleet(msgspec.Struct, forbid_unknown_fields=True):
+    """The fleet's coordination."""
+
+    backend: Literal["sqlite", "postgresql"]
+    proxies_most: Annotated[int, msgspec.Meta(ge=1, le=10_000)]  # processes that may run at once
+    budget: list[Budget]
+    path: str = ""  # sqlite: the file
+    dsn: str = ""  # postgresql: postgresql://user@host:port/database; the password comes from PGPASSWORD
+    lease_ms: Milliseconds = 3_000.0
+    renew_ms: Milliseconds = 1_000.0
+    request_ms: Milliseconds = 1_000.0  # a request that takes longer is given up
+    margin_ms: Milliseconds = 100.0
+    drift: Annotated[float, msgspec.Meta(ge=0, le=0.1)] = 0.001
+    burst_ms: Milliseconds = 250.0
+    trace: bool = False  # an event for each unit spent: for experiments
+
+    def lease(self) -> Lease:
+        """How long a share may be used."""
+        return Lease(self.lease_ms, self.margin_ms, self.drift)
+
+    def terms(self) -> dict[str, Terms]:
+        """The budgets, in thousandths."""
+        return {each.name: Terms(int(each.whole_per_s * THOUSANDTHS),
+                                 int(each.whole_per_s * each.kept_back * THOUSANDTHS), self.proxies_most)
+                for each in self.budget}
+
+    def scopes(self) -> dict[str, Scope]:
+        """What each is spent on."""
+        return {each.name: Scope(each.kind, each.of) for each in self.budget}
+
+    def open_with(self) -> Backend:
+        """The backend, not yet opened.  Only the driver that is configured is imported."""
+        if self.backend == "sqlite":
+            from canvasplank.fleet.sqlite import Sqlite
+
+            return Sqlite(self.path)
+        from canvasplank.fleet.postgresql import Postgresql
+
+        return Postgresql(self.dsn, self.request_ms / 1000)
+
+
+def load_fleet(path: str) -> Fleet:
+    """Read the file."""
+    return load_switch(path, "fleet", Fleet, _check)
+
+
+def _check(fleet: Fleet) -> None:
+    if fleet.backend == "sqlite" and not fleet.path:
+        raise ValueError("backend sqlite needs a path")
+    if fleet.backend == "postgresql":
+        where = urlsplit(fleet.dsn)
+        if where.scheme not in SCHEMES or not where.hostname or not where.path.strip("/"):
+            raise ValueError("backend postgresql needs a dsn like postgresql://user@host:5432/database")
+        _ = where.port  # raises where it is no port
+    if fleet.lease().usable_ms() < 2 * fleet.renew_ms:
+        raise ValueError("lease_ms, less drift and margin_ms, is less than two times renew_ms")
+    if not fleet.budget:
+        raise ValueError("no budget is named")
+    for each in fleet.budget:
+        if bool(each.of) != (each.kind in ("member", "server")):
+            raise ValueError(f"budget {each.name}: kind {each.kind} and of {each.of!r} do not fit")
+        if each.whole_per_s < fleet.proxies_most:
+            raise ValueError(f"budget {each.name}: a whole of {each.whole_per_s:g} is less than one unit a "
+                             f"second for each of {fleet.proxies_most} proxies")
+    for what in ([each.name for each in fleet.budget], [(each.kind, each.of) for each in fleet.budget]):
+        if len(set(what)) < len(what):
+            raise ValueError("a budget is named twice")
--- /dev/null
+++ b/canvasplank/fleet/ledger.py
@@ -0,0 +1,90 @@
+"""What one transaction does to the fleet's rows: the one place where anything is granted.
+
+Both engines, and the model checker, run this same code on the rows they have locked.  It does no I/O and has
+no clock: that somebody is dead is said by whoever watched its row for a lease.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import msgspec
+
+from canvasplank.fleet.division import divide
+from canvasplank.fleet.rows import Answer, Grant, Holding, Member, Request, Rows, Sign
+
+
+def apply(rows: Rows, request: Request) -> tuple[Rows, Answer]:
+    """The rows after a request, and its answer; ``rows`` itself is not changed."""
+    members = dict(rows.members)
+    for sign in request.dead:
+        known = members.get(sign.incarnation)
+        # Guards against removing one that has renewed since it was last seen.
+        if known is not None and known.seq == sign.seq and sign.incarnation != request.incarnation:
+            del members[sign.incarnation]
+    after = replace(rows, members=members)
+    if request.incarnation is None:
+        return _join(after, request)
+    known = members.get(request.incarnation)
+    if known is None:
+        return after, _none(after, request, "the lease is over")
+    if request.seq <= known.seq:
+        # Guards against a request that comes late, or twice, undoing a newer one.
+        return rows, _none(rows, request, "an old request")
+    if request.leaving:
+        del members[request.incarnation]
+        return after, _none(after, request, "left")
+    if any(_held(known, budget) < holding.held for budget, holding in request.using.items()):
+        # It believes that it holds what nobody granted it: what it has is not to be built on.
+        del members[request.incarnation]
+        return after, _none(after, request, "it uses more than it was granted")
+    return _grant(after, request, request.incarnation)
+
+
+def _join(rows: Rows, request: Request) -> tuple[Rows, Answer]:
+    most = min([request.most, *(member.most for member in rows.members.values())])
+    if len(rows.members) + len(rows.unreadable) >= most:
+        return rows, _none(rows, request, f"there are {most} already")
+    incarnation = rows.next_incarnation
+    fresh = {budget: msgspec.structs.replace(holding, held=0) for budget, holding in request.using.items()}
+    joined = replace(rows, next_incarnation=incarnation + 1)
+    return _grant(joined, msgspec.structs.replace(request, using=fresh), incarnation)
+
+
+def _grant(rows: Rows, request: Request, incarnation: int) -> tuple[Rows, Answer]:
+    """Write what it uses, and add to that what it should have and nobody holds."""
+    others = {key: member for key, member in rows.members.items() if key != incarnation}
+    grants: dict[str, Grant] = {}
+    holdings: dict[str, Holding] = {}
+    for budget, mine in request.using.items():
+        theirs = {key: m.holdings[budget] for key, m in others.items() if budget in m.holdings}
+        whole = leased([mine, *theirs.values()])
+        wants = {key: holding.demand for key, holding in (theirs | {incarnation: mine}).items()}
+        target = divide(whole, dict(sorted(wants.items())))[incarnation]
+        free = whole - mine.held - sum(holding.held for holding in theirs.values())
+        if rows.unreadable:  # whoever they are, they may hold all of the rest
+            free = 0
+        share = max(mine.held, min(target, mine.held + free))
+        grants[budget] = Grant(share, target)
+        holdings[budget] = msgspec.structs.replace(mine, held=share)
+    member = Member(incarnation, request.name, request.seq, request.most, request.lease_ms, holdings)
+    after = replace(rows, members=others | {incarnation: member})
+    return after, Answer(incarnation, request.seq, grants, _signs(after))
+
+
+def leased(holdings: list[Holding]) -> int:
+    """What may be leased of a budget: where files differ, the smallest whole less the largest reserve."""
+    return max(0, min(h.whole for h in holdings) - max(h.reserve for h in holdings))
+
+
+def _held(member: Member, budget: str) -> int:
+    holding = member.holdings.get(budget)
+    return 0 if holding is None else holding.held
+
+
+def _signs(rows: Rows) -> tuple[Sign, ...]:
+    return tuple(Sign(key, member.seq, member.lease_ms) for key, member in sorted(rows.members.items()))
+
+
+def _none(rows: Rows, request: Request, why: str) -> Answer:
+    return Answer(None, request.seq, {}, _signs(rows), why)
--- /dev/null
+++ b/canvasplank/fleet/pace.py
@@ -0,0 +1,41 @@
+"""When to ask the store next.  No clock: it gives pauses, in milliseconds.
+
+Steady while all is well, not in step with anybody; eager, a few times, while a share is on its way from one
+proxy to another; after a failure with full jitter, over a span that doubles and that grows with the fleet, so
+that a store that has just come back meets the fleet spread out and not all at once.
+"""
+
+from __future__ import annotations
+
+import random
+
+STEADY_SPREAD = (0.85, 1.0)  # of the period between two renewals
+EAGER_PART = 0.2  # of it
+EAGER_MOST = 6  # eager pauses in a row: past them it is the others' to move
+EACH_MS = 20.0  # what a store is given for each proxy, where all come back to it together
+DOUBLINGS_MOST = 10
+
+
+class Pace:
+    """The pauses of one proxy."""
+
+    def __init__(self, renew_ms: float, rng: random.Random) -> None:
+        self._renew_ms, self._rng = renew_ms, rng
+        self._failures = 0
+        self._eager = 0
+
+    def after_answer(self, *, eager: bool) -> float:
+        """The pause after an answer; ``eager``: somebody waits for what the next request brings."""
+        self._failures = 0
+        self._eager = self._eager + 1 if eager else 0
+        if 0 < self._eager <= EAGER_MOST:
+            return self._renew_ms * EAGER_PART * self._rng.uniform(0.5, 1.0)
+        return self._renew_ms * self._rng.uniform(*STEADY_SPREAD)
+
+    def after_failure(self, fleet: int) -> float:
+        """The pause after a failure, in a fleet of so many as far as is known."""
+        self._eager = 0
+        doubled_ms = self._renew_ms * 2 ** min(self._failures, DOUBLINGS_MOST)
+        self._failures += 1
+        most_ms = max(2 * self._renew_ms, EACH_MS * fleet)
+        return self._rng.uniform(0.0, min(most_ms, max(doubled_ms, EACH_MS * fleet)))
--- /dev/null
+++ b/canvasplank/fleet/part.py
@@ -0,0 +1,38 @@
+"""The fleet's coordination as a part of the program."""
+
+from __future__ import annotations
+
+from canvasplank import interface as api
+from canvasplank.fleet.agent import Agent
+from canvasplank.fleet.config import Fleet, load_fleet
+from canvasplank.parts import Host, Made, Part
+
+
+def load(path: str) -> Made:
+    """Read its file."""
+    settings = load_fleet(path)
+    return lambda host: FleetPart(host, settings)
+
+
+class FleetPart(Part):
+    """Holds this proxy's shares, and has the module's gate ask them."""
+
+    def __init__(self, host: Host, settings: Fleet) -> None:
+        configuration = host.configuration
+        self._agent = Agent(settings, configuration.name, int(configuration.seed, 16), host.counters)
+        host.controller.spend = self._spend
+
+    def _spend(self, call: api.Call, attempt: int, server_id: str, take: bool) -> float:
+        return self._agent.spend(call.contract, attempt, server_id, take)
+
+    async def start(self) -> None:
+        """See ``Part``; until there is a lease the proxy has its part of what is kept back."""
+        self._agent.start()
+
+    def count(self) -> None:
+        """See ``Part``."""
+        self._agent.count()
+
+    async def drain(self, within_s: float) -> None:
+        """See ``Part``."""
+        await self._agent.close(within_s)
--- /dev/null
+++ b/canvasplank/fleet/postgresql.py
@@ -0,0 +1,50 @@
+"""The fleet's rows in PostgreSQL, for proxies on several machines."""
+
+from __future__ import annotations
+
+import asyncpg
+
+from canvasplank.engine.postgresql import PostgresqlEngine
+from canvasplank.fleet import ledger, schema
+from canvasplank.fleet.rows import Answer, Request, Rows
+
+# Guards the fleet against a proxy that stops within a transaction and would keep the lock for as long.
+IDLE_MS = 500
+
+
+class Postgresql(PostgresqlEngine):
+    """See ``Backend``; one connection, since one request is out at a time."""
+
+    def __init__(self, dsn: str, timeout_s: float) -> None:
+        limits = {"idle_in_transaction_session_timeout": str(IDLE_MS),
+                  "statement_timeout": str(int(timeout_s * 1000))}
+        super().__init__(dsn, timeout_s, schema.SCHEMA, limits)
+        self._reader = schema.Reader()
+
+    async def transact(self, request: Request) -> Answer:
+        """See ``Backend``."""
+
+        async def work(connection: asyncpg.Connection) -> Answer:
+            async with connection.transaction():
+                number = await connection.fetchval(schema.LOCK)
+                before = self._reader.rows(number, await connection.fetch(schema.MEMBERS))
+                after, answer = ledger.apply(before, request)
+                for statement, values in schema.changes(before, after):
+                    await connection.execute(statement, *values)
+            return answer
+
+        return await self.do(work)
+
+    async def look(self) -> Rows:
+        """See ``Backend``."""
+
+        async def work(connection: asyncpg.Connection) -> Rows:
+            number = await connection.fetchval(schema.LOCK.removesuffix(" FOR UPDATE"))
+            return self._reader.rows(number, await connection.fetch(schema.MEMBERS))
+
+        return await self.do(work)
+
+    async def forget(self, incarnation: int) -> bool:
+        """See ``Backend``."""
+        done = await self.do(lambda connection: connection.execute(schema.DELETE, incarnation))
+        return done != "DELETE 0"
--- /dev/null
+++ b/canvasplank/fleet/rows.py
@@ -0,0 +1,80 @@
+"""What the store holds of the fleet, and what a proxy and the store say to each other.
+
+Rates are whole thousandths of a unit a second, so that dividing a whole creates nothing by rounding.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import msgspec
+
+FORM = 1  # of a row; a row of another form is left alone
+
+
+class Holding(msgspec.Struct, frozen=True):
+    """One proxy's part in one budget."""
+
+    whole: int  # what its file says that the fleet may use
+    reserve: int  # of that, kept back for proxies without a lease
+    held: int  # the most that it may be using of the rest
+    demand: int | None = None  # what it would use; None: not known yet
+
+
+class Member(msgspec.Struct, frozen=True):
+    """One start of one proxy: its row."""
+
+    incarnation: int
+    name: str
+    seq: int  # grows with each request that counted
+    most: int  # what its file says that there may be of proxies
+    lease_ms: float  # and how long its leases run
+    holdings: Mapping[str, Holding]
+
+
+class Sign(msgspec.Struct, frozen=True, order=True):
+    """That a row was there with this number, and how long its lease runs."""
+
+    incarnation: int
+    seq: int
+    lease_ms: float
+
+
+@dataclass(slots=True)
+class Rows:
+    """The fleet as one transaction sees it."""
+
+    members: dict[int, Member] = field(default_factory=dict)
+    next_incarnation: int = 1
+    unreadable: tuple[int, ...] = ()  # incarnations whose rows are of a form that is not ours
+
+
+class Request(msgspec.Struct, frozen=True):
+    """What a proxy asks of the store; ``incarnation`` is None for one that has no row."""
+
+    name: str
+    incarnation: int | None
+    seq: int
+    most: int
+    lease_ms: float
+    using: Mapping[str, Holding]  # ``held``: what it uses from now on at most
+    dead: tuple[Sign, ...] = ()  # whom it has not heard of for a lease
+    leaving: bool = False
+
+
+class Grant(msgspec.Struct, frozen=True):
+    """What a proxy may use of a budget, and what it should use."""
+
+    share: int
+    target: int  # below the share: let go of the rest
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """What a transaction came to."""
+
+    incarnation: int | None  # None: there is no row for it (any more)
+    seq: int
+    grants: Mapping[str, Grant] = {}
+    seen: tuple[Sign, ...] = ()  # all rows there are now
+    why: str = ""  # where there is no row, why
--- /dev/null
+++ b/canvasplank/fleet/schema.py
@@ -0,0 +1,84 @@
+"""The fleet's tables and statements, and rows from and to them (see ``engine.migrations`` for the SQL)."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import msgspec
+
+from canvasplank.engine.migrations import Schema
+from canvasplank.fleet.rows import FORM, Holding, Member, Rows
+
+LOG = logging.getLogger(__name__)
+
+SCHEMA = Schema("fleet_schema_version", 7_201_311, (
+    (
+        "CREATE TABLE fleet_state (id integer PRIMARY KEY, next_incarnation bigint NOT NULL)",
+        "INSERT INTO fleet_state (id, next_incarnation) VALUES (1, 1)",
+        "CREATE TABLE fleet_member (incarnation bigint PRIMARY KEY, name text NOT NULL, seq bigint NOT NULL, "
+        "form integer NOT NULL, content text NOT NULL)",
+    ),
+))
+# Everybody locks this row first: one transaction at a time.
+LOCK = "SELECT next_incarnation FROM fleet_state WHERE id = 1 FOR UPDATE"
+MEMBERS = "SELECT incarnation, name, seq, form, content FROM fleet_member ORDER BY incarnation"
+SET_NEXT = "UPDATE fleet_state SET next_incarnation = CAST($1 AS bigint) WHERE id = 1"
+DELETE = "DELETE FROM fleet_member WHERE incarnation = CAST($1 AS bigint)"
+UPSERT = (
+    "INSERT INTO fleet_member (incarnation, name, seq, form, content) VALUES (CAST($1 AS bigint), "
+    "CAST($2 AS text), CAST($3 AS bigint), CAST($4 AS integer), CAST($5 AS text)) "
+    "ON CONFLICT (incarnation) DO UPDATE SET seq = excluded.seq, content = excluded.content"
+)
+
+
+class Content(msgspec.Struct, frozen=True):
+    """What a row holds beside its key, as JSON: a newer version may say more, and this one reads on."""
+
+    most: int
+    lease_ms: float
+    holdings: dict[str, Holding]
+
+
+class Reader:
+    """Reads rows; tells once of each that this version cannot read, which is left alone."""
+
+    def __init__(self) -> None:
+        self._told: set[int] = set()
+
+    def rows(self, next_incarnation: int, found: Iterable[Iterable[Any]]) -> Rows:
+        """The rows of one transaction."""
+        members: dict[int, Member] = {}
+        unreadable: list[int] = []
+        for incarnation, name, seq, form, text in found:
+            try:
+                if form != FORM:
+                    raise msgspec.ValidationError(f"form {form}")
+                content = msgspec.json.decode(text, type=Content)
+            except msgspec.MsgspecError as fault:
+                unreadable.append(incarnation)
+                self._tell(incarnation, name, fault)
+                continue
+            members[incarnation] = Member(incarnation, name, seq, content.most, content.lease_ms,
+                                          content.holdings)
+        return Rows(members, next_incarnation, tuple(unreadable))
+
+    def _tell(self, incarnation: int, name: str, fault: Exception) -> None:
+        if incarnation not in self._told:
+            self._told.add(incarnation)
+            LOG.warning("fleet: the row of %s (%d) cannot be read and is left alone, and no share grows "
+                        "while it is there: %s", name, incarnation, fault)
+
+
+def changes(before: Rows, after: Rows) -> Iterator[tuple[str, tuple]]:
+    """The statements that make one of the other, with their parameters."""
+    if after.next_incarnation != before.next_incarnation:
+        yield SET_NEXT, (after.next_incarnation,)
+    for incarnation in before.members.keys() - after.members.keys():
+        yield DELETE, (incarnation,)
+    for incarnation, member in after.members.items():
+        if before.members.get(incarnation) != member:
+            content = Content(member.most, member.lease_ms, dict(member.holdings))
+            yield UPSERT, (incarnation, member.name, member.seq, FORM,
+                           msgspec.json.encode(content).decode())
--- /dev/null
+++ b/canvasplank/fleet/sqlite.py
@@ -0,0 +1,42 @@
+"""The fleet's rows in an SQLite file, for several processes on one machine."""
+
+from __future__ import annotations
+
+import sqlite3
+
+from canvasplank.engine.sqlite import SqliteEngine, own, transaction
+from canvasplank.fleet import ledger, schema
+from canvasplank.fleet.rows import Answer, Request, Rows
+
+
+class Sqlite(SqliteEngine):
+    """See ``Backend``.  A transaction is one piece of work on the thread: nothing is waited for within it."""
+
+    def __init__(self, path: str) -> None:
+        super().__init__(path, schema.SCHEMA, "fleet")
+        self._reader = schema.Reader()
+
+    async def transact(self, request: Request) -> Answer:
+        """See ``Backend``."""
+
+        def work(connection: sqlite3.Connection) -> Answer:
+            with transaction(connection):
+                before = self._read(connection)
+                after, answer = ledger.apply(before, request)
+                for statement, values in schema.changes(before, after):
+                    connection.execute(own(statement), values)
+            return answer
+
+        return await self.do(work)
+
+    async def look(self) -> Rows:
+        """See ``Backend``."""
+        return await self.do(self._read)
+
+    async def forget(self, incarnation: int) -> bool:
+        """See ``Backend``."""
+        return await self.do(lambda c: c.execute(own(schema.DELETE), (incarnation,)).rowcount > 0)
+
+    def _read(self, connection: sqlite3.Connection) -> Rows:
+        [number] = connection.execute(own(schema.LOCK)).fetchone()
+        return self._reader.rows(number, connection.execute(schema.MEMBERS).fetchall())
--- a/canvasplank/interface.py
+++ b/canvasplank/interface.py
@@ -11,6 +11,7 @@
 
 import enum
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 
 
@@ -279,6 +280,10 @@
     shun: bool
 
 
+# Asks fleet-wide budgets about a call's attempt of this number at a server: how long until it may go, in ms.
+# 0: now, and where the last argument says so its units are taken.
+Spend = Callable[[Call, int, str, bool], float]
+
 Event = (ServerList | Call | Established | AttemptEnded | CallerGone | TimerFired | ProbeAnswered | LinesTold
          | Hinted)
 
--- /dev/null
+++ b/canvasplank/learning/part.py
@@ -0,0 +1,49 @@
+"""Learning from a running instance as a part of the program."""
+
+from __future__ import annotations
+
+import logging
+
+from canvasplank.learning.asking import ask
+from canvasplank.learning.config import Learning, load_learning
+from canvasplank.learning.exporting import Exporter
+from canvasplank.learning.merge import Listed, exported, hints, told
+from canvasplank.parts import Host, Made, Part
+
+LOG = logging.getLogger(__name__)
+
+
+def load(path: str) -> Made:
+    """Read its file."""
+    settings = load_learning(path)
+    return lambda host: LearningPart(host, settings)
+
+
+class LearningPart(Part):
+    """Offers what this instance learns to new ones, and asks a running one once, within the bound."""
+
+    def __init__(self, host: Host, settings: Learning) -> None:
+        self._host, self._settings = host, settings
+
+    async def start(self) -> None:
+        """See ``Part``."""
+        host, settings = self._host, self._settings
+        if settings.listen:
+            name = host.configuration.name
+            exporter = Exporter(lambda: exported(name, host.controller.learned(), host.turns.now_ms))
+            await exporter.listen(settings.listen)
+            LOG.info("views for new instances at %s", settings.listen)
+        if not settings.peer:
+            return
+        host.counters.add("learning.views_asked")
+        seen = await ask(settings.peer, settings.bound_ms / 1000)
+        host.turns.begin()
+        if seen is None:
+            host.counters.add("learning.views_refused")
+            return
+        listed = [Listed(*entry) for entry in host.servers.processes()]
+        found = hints(seen, host.turns.now_ms, listed, None, settings.half_life_ms, settings.most_age_ms)
+        host.counters.add("learning.views_taken")
+        host.exchange.hinted(told(found))
+        LOG.info("took a view of %d servers from %s: %d still count", len(seen.servers), settings.peer,
+                 len(found))
--- /dev/null
+++ b/canvasplank/parts.py
@@ -0,0 +1,75 @@
+"""Parts of the program that files of their own switch on: one life cycle, one table.
+
+A part is named by an environment variable that holds the path of its file.  One that is off is not even
+imported: off, it costs nothing.  ``__main__`` runs whatever is on and knows none of them.
+"""
+
+from __future__ import annotations
+
+import importlib
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, Protocol
+
+from canvasplank.counters import Counters
+from canvasplank.deadlines import Turns
+from canvasplank.exchange import Exchange
+from canvasplank.network.board import Board
+from canvasplank.network.servers import Servers
+from canvasplank.policy import Controller
+from canvasplank.settings import Configuration, Notice
+
+
+class Host(Protocol):
+    """What a part may use of the program that it is a part of."""
+
+    configuration: Configuration
+    turns: Turns
+    counters: Counters
+    exchange: Exchange
+    servers: Servers
+    board: Board
+    controller: Controller
+
+
+class Part:
+    """A part that does nothing: each says what it does of this."""
+
+    async def start(self) -> None:
+        """Before callers are let in, with the configuration's list already entered; must be bounded."""
+
+    def told(self, notice: Notice) -> None:
+        """The notice board has told something; the call servers have it already."""
+
+    def reloaded(self) -> None:
+        """The configuration was read again."""
+
+    def count(self) -> None:
+        """Bring the program's counters up to date, just before they are shown."""
+
+    async def drain(self, within_s: float) -> None:
+        """The program ends, everything is answered: bring what is under way to an end in this time."""
+
+
+Made = Callable[[Host], Part]
+
+
+class Entry(NamedTuple):
+    """One kind of part: the variable that names its file, and the module whose ``load`` reads that."""
+
+    variable: str
+    module: str
+
+
+# In the order of their starts: the kept list before whoever asks what servers there are.
+TABLE = (
+    Entry("CANVASPLANK_MEMBERSHIP", "canvasplank.membership.part"),
+    Entry("CANVASPLANK_STORE", "canvasplank.store.part"),
+    Entry("CANVASPLANK_FLEET", "canvasplank.fleet.part"),
+    Entry("CANVASPLANK_LEARNING", "canvasplank.learning.part"),
+)
+
+
+def switched_on(environment: Mapping[str, str]) -> list[Made]:
+    """What the environment names files for, its files read; a bad one is a ``ConfigurationError``."""
+    return [importlib.import_module(entry.module).load(path)
+            for entry in TABLE if (path := environment.get(entry.variable))]
--- a/canvasplank/policy.py
+++ b/canvasplank/policy.py
@@ -49,19 +49,15 @@
 CONFIRM_MS = 5000.0  # the list is seconds late: so long may a return from silence be a fresh start
 # Of the budget of a cold server, by what tells what it can do: lines are a rough measure of that, what its
 # predecessor told a better one, and its own fresh report the best; or so many times what it answers us now.
-COLD_BY_LINES, COLD_BY_POOL, COLD_BY_REPORT = 0.3, 0.6, 0.8
-COLD_TIMES = 1.2
+COLD_BY_LINES, COLD_BY_POOL, COLD_BY_REPORT, COLD_TIMES = 0.3, 0.6, 0.8, 1.2
 FRESH_MS = 2000.0  # so long a report counts as of now
-MARGIN_MS = 25.0  # a final answer leaves this and MARGIN_TICKS before the caller's time is up
-MARGIN_TICKS = 2
+MARGIN_MS, MARGIN_TICKS = 25.0, 2  # a final answer leaves both before the caller's time is up
 MARGIN_SHARE = 0.1  # of the caller's wait, where that is less than MARGIN_MS
 STALL_TICKS = 4  # a timer so late tells that this gateway stood still
 NEVER = float("inf")
 HELD_MOST = 400  # calls held; past it the least worth is refused
-POOLS_MOST = 256  # whose lines are remembered
-REDIALS_MOST = 4000  # unserved calls remembered for their redials
+POOLS_MOST, REDIALS_MOST, BUSY_MOST = 256, 4000, 1000  # remembered: pools, unserved calls, busy numbers
 BUSY_MS, BUSY_MOST_MS = 500.0, 4000.0  # a number found busy is left alone so long, doubling
-BUSY_MOST = 1000  # such numbers remembered
 CREDIT_MOST = 4.0  # calls that a customer may bring in a row beyond its part of the traffic
 LOG_EVERY_MS = 5000.0  # between two lines about the pressure on one server
 
@@ -193,14 +189,14 @@
         self.not_before_ms = now_ms  # rule 5
 
     def has_out(self, event: api.Established | api.AttemptEnded) -> bool:
-        """Whether the event is of the attempt that is out: one told twice must not free the call."""
-        return self.server is not None and event.attempt == self.attempts - 1
+        return self.server is not None and event.attempt == self.attempts - 1  # told twice it frees nothing
 
 
 class Controller:
     """The decisions of one gateway."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.spend: api.Spend | None = None  # fleet-wide budgets, where there are any
         self._settings = settings
         self._random = random.Random(seed)
         self._now = 0.0
@@ -380,8 +376,7 @@
         self._look_soon()
 
     def _look_soon(self) -> None:
-        """A server has room again: calls that are held may leave, once the batch is read."""
-        if self._held:
+        if self._held:  # a server has room again: calls that are held may leave, once the batch is read
             self._due(self._now + self._tick_ms)
 
     def _on_ended(self, event: api.AttemptEnded) -> None:
@@ -398,7 +393,6 @@
             self._settle(view)
             sent_ms = view.pending.pop(event.call_id, None)
             if event.outcome in (api.Outcome.ENDED, api.Outcome.ERROR, api.Outcome.FULL):
-                view.heard_ms = self._now
                 self._on_report(view, event.report)
                 if sent_ms is not None:
                     view.heard_sent_ms = max(view.heard_sent_ms, sent_ms)
@@ -429,11 +423,11 @@
     def _on_probe(self, event: api.ProbeAnswered) -> None:
         view = self._servers.get(event.server_id)
         if view is not None and event.answered:
-            view.heard_ms = self._now
             self._on_report(view, event.report)
 
     def _on_report(self, view: ServerView, report: api.Report | None) -> None:
         """Exception (load reports): what it can take, told without a wait, is an even share's whole."""
+        view.heard_ms = self._now
         rate = report and report.rate_per_s
         if rate and (report.wait_ms or 0.0) <= self._pressed_ms:
             old = view.capacity if view.told_ms > -NEVER else None
@@ -659,14 +653,15 @@
                     again_ms = min(again_ms, self._watch(view))
         for call in [c for c in self._calls.values() if c.server is not None]:
             again_ms = min(again_ms, self._mind(call))
-        stuck: set[tuple[int, ...] | None] = set()
+        stuck: set[tuple] = set()
         for call in sorted(self._held.values(), key=self._rank, reverse=True):
-            if call.call_class.pools in stuck and self._now < self._ends_ms(call):
+            like = call.call_class.pools, call.call.contract, call.attempts > 0  # budgets tell these apart
+            if like in stuck and self._now < self._ends_ms(call):
                 again_ms = min(again_ms, self._ends_ms(call))
             else:  # where a call found no room, one of less worth finds none
                 self._offer(call)
                 if self._now >= call.not_before_ms and call.call.id in self._held:
-                    stuck.add(call.call_class.pools)
+                    stuck.add(like)
         self._due(again_ms)
 
     def _mind(self, call: CallState) -> float:
@@ -722,7 +717,7 @@
         for view in self._servers.values():
             if self._serves(view, call) and (not view.silent or not view.pending):
                 ready_ms = view.trial_ms if view.silent else view.bucket.admits_at(threshold)
-                at_ms = min(at_ms, max(ready_ms, self._warm_at(view)))
+                at_ms = min(at_ms, max(ready_ms, self._warm_at(view), self._budget_at(view, call)))
         return at_ms
 
     def _route(self, call: CallState) -> Iterator[ServerView]:
@@ -754,7 +749,11 @@
     def _admits(self, view: ServerView, call: CallState) -> bool:
         self._settle(view)
         return (not view.silent and self._warm_at(view) <= self._now
-                and view.bucket.admits(self._thresholds[self._worth(call)]))
+                and view.bucket.admits(self._thresholds[self._worth(call)])
+                and self._budget_at(view, call) <= self._now)
+
+    def _budget_at(self, view: ServerView, call: CallState, *, take: bool = False) -> float:
+        return self._now + (self.spend(call.call, call.attempts, view.server_id, take) if self.spend else 0.0)
 
     def _warm_at(self, view: ServerView) -> float:
         """When a server may have the next set-up: a cold one gets them evenly spaced."""
@@ -778,6 +777,8 @@
             return False
         if now < call.not_before_ms:  # 5: release awaited
             return False
+        if self._budget_at(view, call, take=True) > now:  # what the whole fleet may
+            return False
         if view.silent:
             view.trial_times = min(TRIAL_TIMES_MOST, 2 * view.trial_times)
             view.trial_ms = now + self._trial_wait(view)
--- a/canvasplank/store/__main__.py
+++ b/canvasplank/store/__main__.py
@@ -11,8 +11,9 @@
 
 import click
 
+from canvasplank.engine.errors import StoreRefusedError, StoreUnavailableError
 from canvasplank.settings import ConfigurationError
-from canvasplank.store.backend import Count, StoreRefusedError, StoreUnavailableError
+from canvasplank.store.backend import Count
 from canvasplank.store.config import load_store
 
 FIGURE = re.compile(r'edge_(served|refused|failed)\{class="((?:[^"\\]|\\.)*)"\} (\d+)')
--- a/canvasplank/store/backend.py
+++ b/canvasplank/store/backend.py
@@ -8,14 +8,6 @@
 from canvasplank.store.records import Outcome
 
 
-class StoreUnavailableError(Exception):
-    """It cannot be had now, or what became of the batch is not known: the same batch may go again."""
-
-
-class StoreRefusedError(Exception):
-    """It will never have this batch: something in it is wrong."""
-
-
 class Count(NamedTuple):
     """How many records have the same class, answer and ending."""
 
@@ -26,7 +18,7 @@
 
 
 class Backend(Protocol):
-    """A database that keeps records; every method raises one of the two errors above, or nothing."""
+    """A database that keeps records; methods raise ``StoreUnavailableError`` or ``StoreRefusedError``."""
 
     async def open(self) -> None:
         """Connect and bring the tables up to date."""
--- a/canvasplank/store/schema.py
+++ b/canvasplank/store/schema.py
@@ -1,16 +1,12 @@
-"""The tables and statements, in SQL that SQLite and PostgreSQL both read; parameters are ``$1`` and so on.
-
-Each parameter is cast, so that PostgreSQL knows its type without asking and SQLite keeps it as that.
-"""
+"""The tables and statements of the store of record (see ``engine.migrations`` for their SQL)."""
 
 from __future__ import annotations
 
 import msgspec
 
+from canvasplank.engine.migrations import Schema
 from canvasplank.store.records import Outcome
 
-# Each is applied once, in order, in one transaction with the number that it leaves behind.  Never change one
-# that has been released: add another.
 MIGRATIONS: tuple[tuple[str, ...], ...] = (
     (
         "CREATE TABLE call_outcome (call_id text NOT NULL, instance text NOT NULL, taken_ms bigint NOT NULL, "
@@ -20,9 +16,7 @@
     ),
     ("CREATE INDEX call_outcome_taken ON call_outcome (taken_ms)",),
 )
-VERSION_TABLE = "CREATE TABLE IF NOT EXISTS schema_version (version integer NOT NULL)"
-READ_VERSION = "SELECT max(version) FROM schema_version"
-WRITE_VERSION = "INSERT INTO schema_version (version) VALUES (CAST($1 AS integer))"
+SCHEMA = Schema("schema_version", 7_201_310, MIGRATIONS)
 
 _TYPES = {"taken_ms": "bigint", "attempts": "integer", "answered_ms": "bigint", "ended_ms": "bigint",
           "version": "integer"}
@@ -43,17 +37,6 @@
     "GROUP BY class_name, final, ending ORDER BY class_name, final, ending"
 )
 
-class NewerSchemaError(Exception):
-    """The store's tables are newer than this program: it must not write to them."""
-
-
-def pending(version: int | None) -> range:
-    """The migrations still to be applied to a store of this version."""
-    if (version or 0) > len(MIGRATIONS):
-        raise NewerSchemaError(f"its tables are of version {version}, newer than {len(MIGRATIONS)}")
-    return range(version or 0, len(MIGRATIONS))
-
-
 Row = tuple[str | int | None, ...]
 
 
--- a/standins/postgresql.py
+++ b/standins/postgresql.py
@@ -2,7 +2,11 @@
 
 Written from the protocol's public specification (PostgreSQL manual, chapter "Frontend/Backend Protocol").  It
 runs the statements it is sent, commits at Sync as the original does outside a transaction block, and fails on
-request: slow, stalled, dropped before or after a commit, refusing connections, restarted.
+request: slow, stalled, dropped before or after a commit, refusing connections, restarted, not serializable.
+
+Every row lock is one lock on everything, taken by a transaction's first statement that writes or selects FOR
+UPDATE, and waited for as a row's is; until then each statement sees what is committed (READ COMMITTED).
+``statement_timeout`` and ``idle_in_transaction_session_timeout`` are kept.
 
 ``python -m standins.postgresql FOLDER`` runs one by itself, for measurements that its own work must not
 disturb.  It prints its DSN and takes commands on standard input: ``stalled 1``,
@@ -23,11 +27,28 @@
 SSL_REQUEST, CANCEL_REQUEST, PROTOCOL_3 = 80877103, 80877102, 196608
 TEXT, BIGINT, INTEGER = 25, 20, 23
 TYPES = {"text": TEXT, "bigint": BIGINT, "integer": INTEGER}
+FOR_UPDATE = " FOR UPDATE"
 DATA = "standin.db"  # the file of its data, in its folder
 CAST = re.compile(r"CAST\(\$(\d+) AS (\w+)\)")
 PARAMETERS = {"server_version": "16.0", "client_encoding": "UTF8", "server_encoding": "UTF8",
               "standard_conforming_strings": "on", "integer_datetimes": "on", "TimeZone": "UTC"}
+
+
+class StatedError(Exception):
+    """An error with its SQLSTATE; a fatal one ends the session."""
+
+    def __init__(self, state: str, text: str, *, fatal: bool = False) -> None:
+        super().__init__(text)
+        self.state, self.fatal = state, fatal
+
+
 SQLSTATES = {sqlite3.IntegrityError: "23505"}
+LOCKS = ("INSERT", "UPDATE", "DELETE", "CREATE")
+
+
+def own(sql: str) -> str:
+    """A statement as SQLite reads it."""
+    return sql.replace("$", "?").removesuffix(FOR_UPDATE)
 
 
 def message(kind: bytes, body: bytes = b"") -> bytes:
@@ -97,6 +118,7 @@
     delay_s: float = 0.0  # before each Sync is carried out
     drop_before_commit: int = 0  # so many commits are lost with their connections
     drop_after_commit: int = 0  # so many are made, and the connection ends before the client hears of it
+    serialization_failures: int = 0  # so many commits fail as they would where two write the same
     refuse_rows: set[str] = field(default_factory=set)  # rows holding one of these values: SQLSTATE 22
     stalled: bool = False
 
@@ -112,6 +134,9 @@
         self.bound: tuple[Statement, list] | None = None
         self.failed = False  # the rest up to Sync is passed over
         self.block = False  # within BEGIN and COMMIT
+        self.aborted = False  # a statement of the block has failed: nothing but its end is carried out
+        self.holds_lock = False
+        self.settings: dict[str, str] = {}
         self.out = bytearray()
 
     async def run(self) -> None:
@@ -119,7 +144,14 @@
         if not await self._start():
             return
         while True:
-            kind = await self.reader.readexactly(1)
+            try:
+                async with asyncio.timeout(self._limit_s("idle_in_transaction_session_timeout", self.block)):
+                    kind = await self.reader.readexactly(1)
+            except TimeoutError:
+                self._error(StatedError("25P03", "terminating connection due to idle-in-transaction timeout",
+                                        fatal=True))
+                self.writer.write(bytes(self.out))
+                return
             [length] = struct.unpack(">I", await self.reader.readexactly(4))
             body = Reader(await self.reader.readexactly(length - 4))
             await self.server.breathe()
@@ -129,9 +161,12 @@
                 continue
             try:
                 await self._take(kind, body)
-            except (sqlite3.Error, ValueError) as fault:
+            except (sqlite3.Error, ValueError, StatedError) as fault:
                 self._error(fault)
                 if kind == b"Q":
+                    self.failed = False
+                    if not self.block:
+                        self.end("ROLLBACK")
                     self._ready()
             if kind in (b"S", b"Q", b"H"):
                 self.writer.write(bytes(self.out))
@@ -146,6 +181,8 @@
             if code == SSL_REQUEST:
                 self.writer.write(b"N")
             elif code == PROTOCOL_3:
+                while name := body.string():
+                    self.settings[name] = body.string()
                 break
             else:
                 return False  # a cancel request, or nothing of ours
@@ -159,19 +196,65 @@
         self.out.clear()
         return True
 
+    def _limit_s(self, name: str, applies: bool) -> float | None:
+        limit_ms = float(self.settings.get(name, 0))
+        return limit_ms / 1000 if applies and limit_ms else None
+
+    async def _lock(self) -> None:
+        """Take the lock and begin in the data, where that has not been done."""
+        if self.holds_lock:
+            return
+        try:
+            async with asyncio.timeout(self._limit_s("statement_timeout", True)):
+                await self.server.lock.acquire()
+        except TimeoutError:
+            raise StatedError("57014", "canceling statement due to statement timeout") from None
+        self.holds_lock = True
+        self.database.execute("BEGIN IMMEDIATE")
+
+    def end(self, word: str) -> None:
+        """End the transaction, if one was begun in the data, and let go of the lock."""
+        if self.holds_lock:
+            self.database.execute(word)
+            self.holds_lock = False
+            self.server.lock.release()
+
+    def _commit(self) -> None:
+        """Commit, with the faults that a commit may have."""
+        faults = self.server.faults
+        if not self.holds_lock:
+            return
+        if faults.drop_before_commit > 0:
+            faults.drop_before_commit -= 1
+            raise ConnectionAbortedError
+        if faults.serialization_failures > 0:
+            faults.serialization_failures -= 1
+            self.end("ROLLBACK")
+            raise StatedError("40001", "could not serialize access due to concurrent update")
+        self.end("COMMIT")
+        self.server.commits += 1
+        if faults.drop_after_commit > 0:
+            faults.drop_after_commit -= 1
+            raise ConnectionAbortedError
+
     def _ready(self) -> None:
-        self.out += message(b"Z", b"T" if self.block else b"I")
+        self.out += message(b"Z", b"I" if not self.block else b"E" if self.aborted else b"T")
 
     def _error(self, fault: Exception) -> None:
         self.failed = True
+        self.aborted = self.block
         state = SQLSTATES.get(type(fault), "22000" if isinstance(fault, ValueError) else "42000")
-        fields = {b"S": "ERROR", b"V": "ERROR", b"C": state, b"M": str(fault)}
+        severity = "ERROR"
+        if isinstance(fault, StatedError):
+            state, severity = fault.state, "FATAL" if fault.fatal else "ERROR"
+        fields = {b"S": severity, b"V": severity, b"C": state, b"M": str(fault)}
         self.out += message(b"E", b"".join(code + text(value) for code, value in fields.items()) + b"\0")
 
     async def _take(self, kind: bytes, body: Reader) -> None:
         match kind:
             case b"Q":
-                self._simple(body.string())
+                self.failed = False
+                await self._simple(body.string())
             case b"P":
                 name, sql = body.string(), body.string()
                 self.statements[name] = Statement.of(sql)
@@ -186,27 +269,39 @@
                 self.bound = statement, statement.values(raw)
                 self.out += message(b"2")
             case b"E":
-                self._execute(*self.bound)
+                await self._execute(*self.bound)
             case b"C":
                 self.out += message(b"3")
             case b"S":
                 await self._sync()
 
-    def _simple(self, sql: str) -> None:
+    async def _simple(self, sql: str) -> None:
         word = sql.split()[0].upper().rstrip(";")
         if word == "BEGIN":
             self.block = True
-            self.database.execute("BEGIN IMMEDIATE")
         elif word in ("COMMIT", "ROLLBACK"):
-            self.block = False
-            self.database.execute(word)
+            if self.server.faults.delay_s:
+                await asyncio.sleep(self.server.faults.delay_s)
+            aborted, self.block, self.aborted = self.aborted, False, False
+            if word == "ROLLBACK" or aborted:
+                self.end("ROLLBACK")
+            else:
+                self._commit()
         else:
-            rows = self.database.execute(sql).fetchall()
-            for row in rows:
+            self._check_block()
+            if word in LOCKS or "pg_advisory_xact_lock" in sql:
+                await self._lock()
+            for row in self.database.execute(sql).fetchall():
                 self._row(row)
+            if not self.block:
+                self._commit()
         self.out += message(b"C", text(word))
         self._ready()
 
+    def _check_block(self) -> None:
+        if self.aborted:
+            raise StatedError("25P02", "current transaction is aborted, commands ignored until end of block")
+
     def _describe(self, what: str, name: str) -> None:
         if what == "S":
             types = self.statements[name].types
@@ -217,7 +312,7 @@
         if not sql.upper().startswith("SELECT"):
             self.out += message(b"n")
             return
-        probe = self.database.execute(f"SELECT * FROM ({sql.replace('$', '?')}) LIMIT 0",
+        probe = self.database.execute(f"SELECT * FROM ({own(sql)}) LIMIT 0",
                                       [None] * len(Statement.of(sql).types))
         columns = [column[0] for column in probe.description]
         parts = [text(name) + struct.pack(">IhIhih", 0, 0, TEXT, -1, -1, 0) for name in columns]
@@ -228,36 +323,33 @@
                  else struct.pack(">i", len(str(value).encode())) + str(value).encode() for value in row]
         self.out += message(b"D", struct.pack(">h", len(row)) + b"".join(parts))
 
-    def _execute(self, statement: Statement, values: list) -> None:
-        if not self.database.in_transaction:
-            self.database.execute("BEGIN IMMEDIATE")
+    async def _execute(self, statement: Statement, values: list) -> None:
+        self._check_block()
+        word = statement.sql.split()[0].upper()
+        if word in LOCKS or statement.sql.endswith(FOR_UPDATE):
+            await self._lock()
         if self.server.faults.refuse_rows & set(values):
             raise ValueError("a value that this database does not take")
-        cursor = self.database.execute(statement.sql.replace("$", "?"), values)
+        cursor = self.database.execute(own(statement.sql), values)
         rows = cursor.fetchall()
         for row in rows:
             self._row(row)
-        word = statement.sql.split()[0].upper()
-        tag = f"INSERT 0 {cursor.rowcount}" if word == "INSERT" else f"{word} {len(rows)}"
-        self.out += message(b"C", text(tag))
+        counts = {"INSERT": f"0 {cursor.rowcount}", "SELECT": len(rows)}
+        self.out += message(b"C", text(f"{word} {counts.get(word, cursor.rowcount)}"))
 
     async def _sync(self) -> None:
-        faults = self.server.faults
-        if faults.delay_s:
-            await asyncio.sleep(faults.delay_s)
+        if self.server.faults.delay_s:
+            await asyncio.sleep(self.server.faults.delay_s)
         if self.failed:
             self.failed = False
-            if self.database.in_transaction and not self.block:
-                self.database.execute("ROLLBACK")
-        elif self.database.in_transaction and not self.block:
-            if faults.drop_before_commit > 0:
-                faults.drop_before_commit -= 1
-                raise ConnectionAbortedError
-            self.database.execute("COMMIT")
-            self.server.commits += 1
-            if faults.drop_after_commit > 0:
-                faults.drop_after_commit -= 1
-                raise ConnectionAbortedError
+            if not self.block:
+                self.end("ROLLBACK")
+        elif not self.block:
+            try:
+                self._commit()
+            except StatedError as fault:
+                self._error(fault)
+                self.failed = False
         self._ready()
 
 
@@ -268,6 +360,7 @@
         self.faults = Faults()
         self.commits = 0
         self.sessions = 0
+        self.lock = asyncio.Lock()
         self._path = folder / DATA
         self._port = 0
         self._server: asyncio.Server | None = None
@@ -325,7 +418,9 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             writer.transport.abort()
         finally:
-            session.database.close()  # what was not committed is rolled back
+            with contextlib.suppress(sqlite3.Error):
+                session.end("ROLLBACK")
+            session.database.close()
             writer.close()
 
 
@@ -342,7 +437,7 @@
         if name == "restart":
             await server.restart(float(figure))
         else:
-            setattr(server.faults, name, int(figure))
+            setattr(server.faults, name, float(figure) if name == "delay_s" else int(figure))
     await server.stop()
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -287,7 +287,7 @@
             g.until(g.now + 100)
         unserved = g.controller._unserved
         assert [key for key, _ in unserved] == ["2", "1", "3"]
-        noted = [at for _, at in unserved.values()]
+        noted = [at for _, at, _ in unserved.values()]
         assert noted == sorted(noted) and unserved["1", "low"][0] == 0
         g.until(SETTINGS.classes[0].deadline_ms + 250)
         g.call(number="4", gives_up_ms=g.now)
@@ -348,7 +348,7 @@
             g.servers(ready("a", pool))
             g.tell(lines("a", 10))
             g.servers(gone("a", pool))
-        assert len(g.controller._lines) == policy.POOLS_MOST
+        assert len(g.controller._told) == policy.POOLS_MOST
 
 
 def test_trials_do_not_cut_the_rate_of_a_silent_server():
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -79,13 +79,18 @@
 PACKAGE_NAME = "canvasplank"
 # From the bottom up: a module imports only what stands before it.
 LAYERS = [
-    "interface", "codecs.errors", "codecs.isup", "codecs.sip", "codecs.sse", "counters", "deadlines",
-    "closing", "background", "learning.view", "learning.merge", "policy", "settings", "switch",
+    "interface", "events", "codecs.errors", "codecs.isup", "codecs.sip", "codecs.sse", "counters",
+    "deadlines", "closing", "background", "engine.errors", "engine.migrations", "engine.sqlite",
+    "engine.postgresql", "fleet.rows", "fleet.division", "fleet.ledger", "fleet.holder", "fleet.watch",
+    "fleet.spending", "fleet.pace", "learning.view", "learning.merge", "policy", "settings", "switch",
     "learning.config", "learning.asking", "learning.exporting", "membership.kept", "membership.roster",
     "membership.keeper", "membership.config", "wirehost", "exchange", "store.records", "store.outbox",
     "store.schema", "store.backend", "store.sqlite", "store.postgresql", "store.config", "store.writer",
     "store.__main__", "network.loop", "network.stream", "network.connecting", "network.callers",
-    "network.servers", "network.board", "admin", "__main__",
+    "network.servers", "network.board", "admin", "parts", "membership.part", "store.part", "learning.part",
+    "fleet.schema", "fleet.backend", "fleet.sqlite", "fleet.postgresql", "fleet.config", "fleet.agent",
+    "fleet.part",
+    "__main__",
 ]
 
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -147,7 +147,7 @@
     """A set-up written to a connection that nobody reads any more was lost on an upgrade day."""
     import asyncio
 
-    from canvasplank.__main__ import Program, Switched
+    from canvasplank.__main__ import Program
     from canvasplank.network.loop import PipeLoop
     from canvasplank.settings import load_configuration
 
@@ -159,7 +159,7 @@
     async def run() -> list[str]:
         seen: list[str] = []
         loaded = load_configuration(str(path))
-        program = Program(loaded, lambda: loaded, Switched())
+        program = Program(loaded, lambda: loaded, [])
 
         async def caller() -> None:
             port, writer = int(loaded.listen.split(":")[1]), None
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -12,11 +12,12 @@
 
 from canvasplank import interface as api
 from canvasplank.counters import Counters
+from canvasplank.engine.errors import StoreUnavailableError
 from canvasplank.exchange import CallRecord
 from canvasplank.settings import ConfigurationError
 from canvasplank.store import schema
 from canvasplank.store.__main__ import cli
-from canvasplank.store.backend import Count, StoreUnavailableError
+from canvasplank.store.backend import Count
 from canvasplank.store.config import load_store
 from canvasplank.store.outbox import Outbox
 from canvasplank.store.postgresql import Postgresql
