--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -47,6 +47,14 @@
                     raise AssertionError(f"ended with {self.process.returncode}: {self.text()}")
                 await asyncio.sleep(0.02)
 
+    def freeze(self) -> None:
+        """Stop it where it is, whatever it is in the middle of."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def wake(self) -> None:
+        """Have it go on, as if no time had passed."""
+        self.process.send_signal(signal.SIGCONT)
+
     async def stop(self, how: signal.Signals = signal.SIGTERM) -> int:
         """Signal it and wait for its end."""
         with contextlib.suppress(ProcessLookupError):
--- a/standins/postgresql.py
+++ b/standins/postgresql.py
@@ -27,6 +27,7 @@
 SSL_REQUEST, CANCEL_REQUEST, PROTOCOL_3 = 80877103, 80877102, 196608
 TEXT, BIGINT, INTEGER = 25, 20, 23
 TYPES = {"text": TEXT, "bigint": BIGINT, "integer": INTEGER}
+NUMBERS = {BIGINT: struct.Struct(">q"), INTEGER: struct.Struct(">i")}  # as a binary result holds them
 FOR_UPDATE = " FOR UPDATE"
 DATA = "standin.db"  # the file of its data, in its folder
 CAST = re.compile(r"CAST\(\$(\d+) AS (\w+)\)")
@@ -314,13 +315,17 @@
             return
         probe = self.database.execute(f"SELECT * FROM ({own(sql)}) LIMIT 0",
                                       [None] * len(Statement.of(sql).types))
-        columns = [column[0] for column in probe.description]
-        parts = [text(name) + struct.pack(">IhIhih", 0, 0, TEXT, -1, -1, 0) for name in columns]
+        columns = [(column[0], self.server.type_of(self.database, column[0])) for column in probe.description]
+        parts = [text(name) + struct.pack(">IhIhih", 0, 0, kind, -1, -1, 0) for name, kind in columns]
         self.out += message(b"T", struct.pack(">h", len(columns)) + b"".join(parts))
 
-    def _row(self, row: tuple) -> None:
-        parts = [struct.pack(">i", -1) if value is None
-                 else struct.pack(">i", len(str(value).encode())) + str(value).encode() for value in row]
+    def _row(self, row: tuple, types: list[int] | None = None) -> None:
+        """One row: numbers as such where their columns were described so, all else as text."""
+        kinds = types or [TEXT] * len(row)
+        values = [None if value is None else NUMBERS[kind].pack(value) if kind in NUMBERS
+                  else str(value).encode() for value, kind in zip(row, kinds, strict=True)]
+        parts = [struct.pack(">i", -1) if value is None else struct.pack(">i", len(value)) + value
+                 for value in values]
         self.out += message(b"D", struct.pack(">h", len(row)) + b"".join(parts))
 
     async def _execute(self, statement: Statement, values: list) -> None:
@@ -332,8 +337,9 @@
             raise ValueError("a value that this database does not take")
         cursor = self.database.execute(own(statement.sql), values)
         rows = cursor.fetchall()
+        types = [self.server.type_of(self.database, column[0]) for column in cursor.description or ()]
         for row in rows:
-            self._row(row)
+            self._row(row, types)
         counts = {"INSERT": f"0 {cursor.rowcount}", "SELECT": len(rows)}
         self.out += message(b"C", text(f"{word} {counts.get(word, cursor.rowcount)}"))
 
@@ -361,6 +367,7 @@
         self.commits = 0
         self.sessions = 0
         self.lock = asyncio.Lock()
+        self._types: dict[str, int] = {}
         self._path = folder / DATA
         self._port = 0
         self._server: asyncio.Server | None = None
@@ -384,6 +391,16 @@
         database.create_function("pg_advisory_xact_lock", 1, lambda _: None)
         return database
 
+    def type_of(self, database: sqlite3.Connection, column: str) -> int:
+        """A result column's type, by the tables' column of that name; of anything else it is text."""
+        if column not in self._types:
+            found = database.execute("SELECT c.type FROM sqlite_master t, pragma_table_info(t.name) c "
+                                     "WHERE t.type = 'table' AND c.name = ?", [column]).fetchone()
+            if found is None:
+                return TEXT
+            self._types[column] = TYPES[found[0].lower()]
+        return self._types[column]
+
     def rows(self, sql: str) -> list[tuple]:
         """What the data holds now."""
         with contextlib.closing(self.connect()) as database:
