Command line on click, a demo in one command, and tests of budgets in every interleaving

Need: operators must see who is in the fleet and who holds what of a budget; a fresh machine needed three terminals for a first call; the lease protocol wants proof beyond the plays of processes.

Change: `canvasplank` (run, fleet status, fleet forget, budgets show, store ...) as an entry point; `python -m canvasplank` without arguments serves as before and imports none of it (program.py holds what __main__ held). `./demo` makes its environment and shows a call set up.

Found on the way: `budgets show` failed on any member (a row is no dictionary key).

--- /dev/null
+++ b/canvasplank/cli.py
@@ -0,0 +1,137 @@
+"""The command line: ``canvasplank run``, ``fleet``, ``budgets``, ``store``."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import click
+
+from canvasplank.engine.errors import StoreRefusedError, StoreUnavailableError
+from canvasplank.fleet.backend import Backend
+from canvasplank.fleet.config import Fleet, load_fleet
+from canvasplank.fleet.ledger import leased
+from canvasplank.fleet.rows import Holding, Rows
+from canvasplank.settings import ConfigurationError
+from canvasplank.store.__main__ import cli as store_cli
+
+THOUSANDTHS = 1000.0
+TOLD_PERIODS = 2.5  # renewals' periods: a member that has not renewed within is told as quiet
+
+Result = TypeVar("Result")
+
+fleet_option = click.option("--fleet", "path", required=True, envvar="CANVASPLANK_FLEET",
+                            help="The fleet's file, as deploy/fleet.toml.")
+
+
+def asked(path: str, ask: Callable[[Fleet, Backend], Awaitable[Result]]) -> Result:
+    """What the fleet's store says, or an exit with one line."""
+
+    async def run() -> Result:
+        fleet = load_fleet(path)
+        backend = fleet.open_with()
+        async with asyncio.timeout(fleet.request_ms / THOUSANDTHS):
+            await backend.open()
+        try:
+            return await ask(fleet, backend)
+        finally:
+            await backend.close()
+
+    try:
+        return asyncio.run(run())
+    except (ConfigurationError, StoreUnavailableError, StoreRefusedError, TimeoutError) as fault:
+        raise click.ClickException(str(fault) or "the store gave no answer in time") from None
+
+
+@click.group()
+def cli() -> None:
+    """A signalling proxy, and what its operators ask of it and of its fleet."""
+
+
+@cli.command()
+def run() -> None:
+    """Serve, by the environment's configuration (EDGE_CONFIG and so on)."""
+    from canvasplank.program import serve
+
+    sys.exit(serve())
+
+
+@cli.group()
+def fleet() -> None:
+    """Who is in the fleet."""
+
+
+@fleet.command()
+@fleet_option
+def status(path: str) -> None:
+    """Each proxy that has a row: its name, incarnation, requests so far, and whether it renews.
+
+    Takes a little more than two periods of renewals, since that alone tells who is there.
+    """
+
+    async def ask(settings: Fleet, backend: Backend) -> tuple[Rows, Rows]:
+        before = await backend.look()
+        await asyncio.sleep(TOLD_PERIODS * settings.renew_ms / THOUSANDTHS)
+        return before, await backend.look()
+
+    before, after = asked(path, ask)
+    for incarnation, member in sorted(after.members.items()):
+        old = before.members.get(incarnation)
+        renewed = member.seq - old.seq if old else member.seq
+        state = "new" if old is None else "renews" if renewed else "quiet"
+        click.echo(f"{member.name}\t{incarnation}\t{member.seq} requests\t{state}")
+    for incarnation in sorted(before.members.keys() - after.members.keys()):
+        click.echo(f"{before.members[incarnation].name}\t{incarnation}\t-\tgone")
+    for incarnation in after.unreadable:
+        click.echo(f"?\t{incarnation}\t-\tcannot be read by this version")
+
+
+@fleet.command()
+@fleet_option
+@click.argument("incarnation", type=int)
+def forget(path: str, incarnation: int) -> None:
+    """Remove a row by hand: one that this version cannot read, of a proxy that is surely no more."""
+
+    async def ask(_: Fleet, backend: Backend) -> bool:
+        return await backend.forget(incarnation)
+
+    if not asked(path, ask):
+        raise click.ClickException(f"there is no {incarnation}")
+    click.echo(f"{incarnation} removed")
+
+
+@cli.group()
+def budgets() -> None:
+    """What the fleet may use together, and who holds what of it."""
+
+
+@budgets.command()
+@fleet_option
+def show(path: str) -> None:
+    """Each budget, and each proxy's share and demand in it, in units a second."""
+
+    async def ask(_: Fleet, backend: Backend) -> Rows:
+        return await backend.look()
+
+    rows = asked(path, ask)
+    for budget in sorted({name for member in rows.members.values() for name in member.holdings}):
+        parts = [(m, m.holdings[budget]) for _, m in sorted(rows.members.items()) if budget in m.holdings]
+        whole = leased([holding for _, holding in parts])
+        held = sum(holding.held for _, holding in parts)
+        click.echo(f"{budget}\tleased {held / THOUSANDTHS:g} of {whole / THOUSANDTHS:g}/s"
+                   f"\tfree {(whole - held) / THOUSANDTHS:g}/s")
+        for member, holding in parts:
+            click.echo(f"  {member.name}\t{member.incarnation}\tholds {holding.held / THOUSANDTHS:g}/s"
+                       f"\twants {_wanted(holding)}")
+
+
+def _wanted(holding: Holding) -> str:
+    return "-" if holding.demand is None else f"{holding.demand / THOUSANDTHS:g}/s"
+
+
+cli.add_command(store_cli, "store")
+
+if __name__ == "__main__":
+    cli()
--- a/checks/leases.py
+++ b/checks/leases.py
@@ -111,12 +111,12 @@
 
     def run(self) -> Found:
         """Look at every state within the bounds, or up to the first that is wrong."""
-        first = State([self._proxy("p0") for _ in range(self._bounds.starts)])
+        first = self.first()
         before: dict[tuple, tuple[tuple, str] | None] = {first.key(): None}
         waiting = deque([first])
         while waiting:
             state = waiting.popleft()
-            for step, after in self._steps(state):
+            for step, after in self.steps(state):
                 key = after.key()
                 if key in before:
                     continue
@@ -128,6 +128,10 @@
                 waiting.append(after)
         return Found(len(before), True, None)
 
+    def first(self) -> State:
+        """Nobody has asked anything."""
+        return State([self._proxy("p0") for _ in range(self._bounds.starts)])
+
     @staticmethod
     def _path(before: dict, key: tuple) -> tuple[str, ...]:
         steps = []
@@ -140,7 +144,8 @@
         terms = {BUDGET: Terms(WHOLE, 0, self._bounds.processes + 2)}
         return Proxy(Holder(name, terms, self._lease), Watch(self._lease))
 
-    def _steps(self, state: State) -> Iterator[tuple[str, State]]:
+    def steps(self, state: State) -> Iterator[tuple[str, State]]:
+        """Every step that can follow, and what it leads to."""
         if state.now < self._bounds.ticks:
             yield from self._ticks(state)
         if len(state.proxies) < self._bounds.processes:
@@ -216,3 +221,26 @@
     holder, watch = copy.copy(proxy.holder), copy.copy(proxy.watch)
     holder._using, holder._target = dict(holder._using), dict(holder._target)
     return replace(proxy, holder=holder, watch=watch)
+
+
+LARGE = {
+    "three processes, one tick": (Lease(2.0, 1.0, 0.0),
+                                  Bounds(ticks=1, asks=2, starts=3, processes=3, late=0, slips=0)),
+    "clocks slip, four ticks": (Lease(2.0, 1.0, 0.0), Bounds(ticks=4, asks=2, starts=2, late=0)),
+    "late over a tick": (Lease(2.0, 1.0, 0.0), Bounds(ticks=1, asks=3, starts=2, slips=0, states=10**6)),
+}
+
+
+def main() -> int:
+    """Explore further than the tests do; minutes."""
+    wrong = 0
+    for name, (lease, bounds) in LARGE.items():
+        found = Explorer(lease, bounds).run()
+        extent = "all" if found.whole else "the first"
+        print(f"{name}: {extent} {found.states} states, {found.path or 'the sum holds in each'}", flush=True)
+        wrong += found.path is not None
+    return wrong
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,46 @@
+"""Shows one call set up through the proxy: starts the toy server and the proxy, calls, and ends all."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from examples import toy_caller
+
+ROOT = Path(__file__).parent.parent
+WAIT_S = 15.0
+
+
+def main() -> int:
+    """Run the three programs of the README's "Try it" in one."""
+    with contextlib.ExitStack() as ends:
+        _start(ends, "examples.toy_server", "toy server ready")
+        _start(ends, "canvasplank", " listens on ")
+        print("a caller calls:", flush=True)
+        toy_caller.main()
+    return 0
+
+
+def _start(ends: contextlib.ExitStack, module: str, ready: str) -> None:
+    """Start a module and wait until it says that it is ready."""
+    environment = os.environ | {"EDGE_CONFIG": str(ROOT / "examples" / "config.json")}
+    process = subprocess.Popen([sys.executable, "-m", module], cwd=ROOT, env=environment, text=True,
+                               stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
+    ends.callback(process.wait, WAIT_S)
+    ends.callback(process.terminate)
+    until = time.monotonic() + WAIT_S
+    for line in process.stdout:
+        print(f"{module}: {line.rstrip()}", flush=True)
+        if ready in line:
+            return
+        if time.monotonic() > until:
+            break
+    raise SystemExit(f"{module} did not start")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -89,8 +89,7 @@
     "store.__main__", "network.loop", "network.stream", "network.connecting", "network.callers",
     "network.servers", "network.board", "admin", "parts", "membership.part", "store.part", "learning.part",
     "fleet.schema", "fleet.backend", "fleet.sqlite", "fleet.postgresql", "fleet.config", "fleet.agent",
-    "fleet.part",
-    "__main__",
+    "fleet.part", "program", "cli", "__main__",
 ]
 
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -147,8 +147,8 @@
     """A set-up written to a connection that nobody reads any more was lost on an upgrade day."""
     import asyncio
 
-    from canvasplank.__main__ import Program
     from canvasplank.network.loop import PipeLoop
+    from canvasplank.program import Program
     from canvasplank.settings import load_configuration
 
     configuration = json.loads((ROOT / "examples" / "config.json").read_text())
