One owner at a time: terms on the store, a worker for the usage ledger, its export and retention

Need: work on behalf of the fleet must have one owner, and an old owner that wakes up late must do no harm.

Change: tasks are rows beside the fleet's members; the ledger gives a free one to whoever asks and owns fewest, under a term that only grows; a failed one moves, with a backoff on the candidate's own clock. Each effect's transaction begins with a write that names task, term and owner, and is refused whole where that is over. Records carry the member. `canvasplank fleet owners` shows who owns what.

Found on the way: a candidate that had not yet heard of a failure took the task at once (its request now says how many failures it knows of); alone with other tasks it never took back what it had failed at.

--- a/canvasplank/cli.py
+++ b/canvasplank/cli.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import secrets
+import socket
 import sys
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
@@ -102,6 +105,43 @@
     click.echo(f"{incarnation} removed")
 
 
+@fleet.command()
+@fleet_option
+def owners(path: str) -> None:
+    """Each task of the fleet: who owns it, in which term, how often it failed in a row."""
+
+    async def ask(_: Fleet, backend: Backend) -> Rows:
+        return await backend.look()
+
+    rows = asked(path, ask)
+    for name, task in sorted(rows.tasks.items()):
+        member = rows.members.get(task.owner)
+        owner = "nobody" if member is None else f"{member.name} ({member.incarnation})"
+        failed = f"\tfailed {task.failures} times, last at {task.failed_by}" if task.failures else ""
+        click.echo(f"{name}\t{owner}\tterm {task.term}{failed}")
+
+
+@cli.command()
+@fleet_option
+@click.option("--work", "work_path", required=True, envvar="CANVASPLANK_WORK",
+              help="What it does, as deploy/work.toml.")
+@click.option("--name", default=socket.gethostname, help="What operators know it by.")
+def worker(path: str, work_path: str, name: str) -> None:
+    """Do the fleet's work: close periods of the usage ledger, export them, remove old records."""
+    from canvasplank import events
+    from canvasplank.work.config import load_work
+    from canvasplank.work.worker import Worker
+
+    async def run() -> None:
+        await Worker(load_fleet(path), load_work(work_path), name, secrets.randbits(32)).run()
+
+    try:
+        events.begin(os.environ.get("CANVASPLANK_LOG", "human"))
+        asyncio.run(run())
+    except (ConfigurationError, ValueError) as fault:
+        raise click.ClickException(str(fault)) from None
+
+
 @cli.group()
 def budgets() -> None:
     """What the fleet may use together, and who holds what of it."""
--- a/canvasplank/engine/postgresql.py
+++ b/canvasplank/engine/postgresql.py
@@ -35,6 +35,10 @@
         """Connect and bring the tables up to date."""
         await self._guarded(self._open())
 
+    async def migrate(self, schema: Schema) -> None:
+        """Bring another subsystem's tables in the same database up to date."""
+        await self.do(lambda connection: _migrate(connection, schema))
+
     async def close(self) -> None:
         """Let go of it, without a farewell, which a server that hangs would keep us waiting for."""
         connection, self._connection = self._connection, None
@@ -60,12 +64,15 @@
         await self.close()
         self._connection = connection = await asyncpg.connect(
             self._dsn, timeout=self._timeout_s, server_settings=self._settings)
-        schema = self._schema
-        async with connection.transaction():
-            await connection.execute(f"SELECT pg_advisory_xact_lock({schema.lock})")
-            await connection.execute(schema.create_version)
-            version = await connection.fetchval(schema.read_version)
-            for number in schema.pending(None if version is None else int(version)):
-                for statement in schema.migrations[number]:
-                    await connection.execute(statement)
-                await connection.execute(schema.write_version, number + 1)
+        await _migrate(connection, self._schema)
+
+
+async def _migrate(connection: asyncpg.Connection, schema: Schema) -> None:
+    async with connection.transaction():
+        await connection.execute(f"SELECT pg_advisory_xact_lock({schema.lock})")
+        await connection.execute(schema.create_version)
+        version = await connection.fetchval(schema.read_version)
+        for number in schema.pending(None if version is None else int(version)):
+            for statement in schema.migrations[number]:
+                await connection.execute(statement)
+            await connection.execute(schema.write_version, number + 1)
--- a/canvasplank/engine/sqlite.py
+++ b/canvasplank/engine/sqlite.py
@@ -33,6 +33,10 @@
         """Connect and bring the tables up to date."""
         await self._on_thread(self._open)
 
+    async def migrate(self, schema: Schema) -> None:
+        """Bring another subsystem's tables in the same file up to date."""
+        await self.do(lambda connection: _migrate(connection, schema))
+
     async def close(self) -> None:
         """Let go of it; it may be opened again."""
         with contextlib.suppress(StoreUnavailableError, StoreRefusedError):
@@ -61,27 +65,28 @@
         try:
             connection.execute("PRAGMA journal_mode = WAL")
             connection.execute("PRAGMA synchronous = FULL")  # what was written outlives the power
-            self._migrate(connection)
+            _migrate(connection, self._schema)
         except BaseException:
             connection.close()
             raise
         self._connection = connection
 
-    def _migrate(self, connection: sqlite3.Connection) -> None:
-        with transaction(connection):  # the lock: one process migrates, the others find it done
-            connection.execute(self._schema.create_version)
-            [version] = connection.execute(self._schema.read_version).fetchone()
-            for number in self._schema.pending(version):
-                for statement in self._schema.migrations[number]:
-                    connection.execute(statement)
-                connection.execute(own(self._schema.write_version), (number + 1,))
-
     def _close(self) -> None:
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.close()
 
 
+def _migrate(connection: sqlite3.Connection, schema: Schema) -> None:
+    with transaction(connection):  # the lock: one process migrates, the others find it done
+        connection.execute(schema.create_version)
+        [version] = connection.execute(schema.read_version).fetchone()
+        for number in schema.pending(version):
+            for statement in schema.migrations[number]:
+                connection.execute(statement)
+            connection.execute(own(schema.write_version), (number + 1,))
+
+
 @contextlib.contextmanager
 def transaction(connection: sqlite3.Connection) -> Iterator[None]:
     """All or nothing, with the file's one write lock from the start."""
--- a/canvasplank/fleet/agent.py
+++ b/canvasplank/fleet/agent.py
@@ -7,7 +7,9 @@
 import logging
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+
+import msgspec
 
 from canvasplank.counters import Counters
 from canvasplank.engine.errors import StoreRefusedError, StoreUnavailableError
@@ -15,6 +17,7 @@
 from canvasplank.fleet.backend import Backend
 from canvasplank.fleet.config import Fleet
 from canvasplank.fleet.holder import Holder
+from canvasplank.fleet.ownership import Ownership
 from canvasplank.fleet.pace import Pace
 from canvasplank.fleet.rows import Answer, Request
 from canvasplank.fleet.spending import Spender
@@ -35,12 +38,16 @@
     """One proxy's coordination with the fleet."""
 
     def __init__(self, fleet: Fleet, name: str, seed: int, counters: Counters,
-                 clock: Callable[[], float] = steady_ms) -> None:
+                 clock: Callable[[], float] = steady_ms, *, works: Iterable[str] = ()) -> None:
+        """``works``: tasks of the fleet that this process does, and then it holds no budgets."""
         self._fleet, self._counters, self._clock = fleet, counters, clock
         self._backend: Backend = fleet.open_with()
-        self.holder = Holder(name, fleet.terms(), fleet.lease())
+        self.ownership = Ownership(works, random.Random(seed))
+        terms = {} if self.ownership.able else fleet.terms()
+        self.holder = Holder(name, terms, fleet.lease(), fleet.proxies_most)
         self.watch = Watch(fleet.lease())
-        self.spender = Spender(self.holder, fleet.scopes(), fleet.burst_ms, clock())
+        scopes = {budget: scope for budget, scope in fleet.scopes().items() if budget in terms}
+        self.spender = Spender(self.holder, scopes, fleet.burst_ms, clock())
         self._pace = Pace(fleet.renew_ms, random.Random(seed))
         self._open = False
         self._failing = False
@@ -95,13 +102,15 @@
         sent_ms = self._clock()  # before anything is sent, or a connection made
         self.spender.settle(sent_ms)
         request = self.holder.request(sent_ms, self.spender.demands(sent_ms), self.watch.dead(sent_ms))
+        request = msgspec.structs.replace(request, **self.ownership.says(sent_ms))
         answer = await self._carry(request, self._fleet.request_ms / MS)
         if answer is None:
             return self._pace.after_failure(len(self.watch))
         now_ms = self._clock()
         self.spender.settle(now_ms)
         known = self.holder.incarnation
-        self.holder.answered(answer)
+        if self.holder.answered(answer):
+            self.ownership.heard(answer, now_ms)
         self.watch.saw(answer.seen, now_ms)
         self._tell(known, request, answer)
         if answer.incarnation is None:  # the next request joins anew, at once unless there are too many
--- a/canvasplank/fleet/holder.py
+++ b/canvasplank/fleet/holder.py
@@ -51,8 +51,10 @@
 class Holder:
     """One proxy's side of all budgets."""
 
-    def __init__(self, name: str, terms: Mapping[str, Terms], lease: Lease) -> None:
+    def __init__(self, name: str, terms: Mapping[str, Terms], lease: Lease, most: int | None = None) -> None:
+        """``most``: proxies that there may be, for one that holds no budgets."""
         self.name, self.terms, self._lease = name, dict(terms), lease
+        self._most = most or min(each.most for each in terms.values())
         self.incarnation: int | None = None
         self.until_ms = NEVER  # so long the shares may be used
         self._seq = 0
@@ -88,9 +90,8 @@
             self._let_go()
         using = {budget: Holding(terms.whole, terms.reserve, self._using[budget], demands.get(budget))
                  for budget, terms in self.terms.items()}
-        most = min(terms.most for terms in self.terms.values())
-        return Request(self.name, self.incarnation, self._seq, most, self._lease.lease_ms, using, tuple(dead),
-                       leaving)
+        return Request(self.name, self.incarnation, self._seq, self._most, self._lease.lease_ms, using,
+                       tuple(dead), leaving)
 
     def answered(self, answer: Answer) -> bool:
         """Take an answer; False: it is not that of the newest request and tells nothing."""
--- a/canvasplank/fleet/ledger.py
+++ b/canvasplank/fleet/ledger.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from canvasplank.fleet.division import divide
-from canvasplank.fleet.rows import Answer, Grant, Holding, Member, Request, Rows, Sign
+from canvasplank.fleet.rows import Answer, Grant, Holding, Member, Request, Rows, Sign, Task
 
 
 def apply(rows: Rows, request: Request) -> tuple[Rows, Answer]:
@@ -67,9 +67,40 @@
         share = max(mine.held, min(target, mine.held + free))
         grants[budget] = Grant(share, target)
         holdings[budget] = msgspec.structs.replace(mine, held=share)
-    member = Member(incarnation, request.name, request.seq, request.most, request.lease_ms, holdings)
-    after = replace(rows, members=others | {incarnation: member})
-    return after, Answer(incarnation, request.seq, grants, _signs(after))
+    member = Member(incarnation, request.name, request.seq, request.most, request.lease_ms, holdings,
+                    request.able)
+    after = _assign(replace(rows, members=others | {incarnation: member}), request, incarnation)
+    return after, Answer(incarnation, request.seq, grants, _signs(after), tasks=after.tasks)
+
+
+def _assign(rows: Rows, request: Request, me: int) -> Rows:
+    """Take what it gives up, and give it what is free and its turn; each new owner has a term of its own."""
+    tasks = dict(rows.tasks)
+    for name, task in rows.tasks.items():
+        if task.owner == me and name in request.given_up:
+            tasks[name] = Task(task.term, None, task.failures + 1, me)
+        elif task.owner == me and name not in request.able:
+            tasks[name] = msgspec.structs.replace(task, owner=None)  # handed over
+        elif task.owner == me and name in request.done and task.failures:
+            tasks[name] = msgspec.structs.replace(task, failures=0, failed_by=None)
+    for name, failures in request.ready.items():
+        task = tasks.get(name, Task())
+        free = task.owner not in rows.members and name not in request.given_up
+        # Guards against taking what has just failed elsewhere, without the wait that its failures ask for.
+        if free and task.failures == failures and _turn(rows, tasks, name, me):
+            tasks[name] = msgspec.structs.replace(task, term=task.term + 1, owner=me)
+    return replace(rows, tasks=tasks)
+
+
+def _turn(rows: Rows, tasks: dict[str, Task], name: str, me: int) -> bool:
+    """Whether nobody else who would do it owns less, or has not just failed at it where this one has."""
+    failed_by = tasks.get(name, Task()).failed_by
+    others = [key for key, member in rows.members.items()
+              if name in member.able and key not in (me, failed_by)]
+    if failed_by == me and any(name in m.able for key, m in rows.members.items() if key != me):
+        return False
+    owned = {key: sum(task.owner == key for task in tasks.values()) for key in (me, *others)}
+    return all(owned[me] <= owned[key] for key in others)
 
 
 def leased(holdings: list[Holding]) -> int:
--- a/canvasplank/fleet/postgresql.py
+++ b/canvasplank/fleet/postgresql.py
@@ -6,6 +6,7 @@
 
 from canvasplank.engine.postgresql import PostgresqlEngine
 from canvasplank.fleet import ledger, schema
+from canvasplank.fleet.backend import Effects, Tenure, TermOverError
 from canvasplank.fleet.rows import Answer, Request, Rows
 
 # Guards the fleet against a proxy that stops within a transaction and would keep the lock for as long.
@@ -27,7 +28,8 @@
         async def work(connection: asyncpg.Connection) -> Answer:
             async with connection.transaction():
                 number = await connection.fetchval(schema.LOCK)
-                before = self._reader.rows(number, await connection.fetch(schema.MEMBERS))
+                before = self._reader.rows(number, await connection.fetch(schema.MEMBERS),
+                                           await connection.fetch(schema.TASKS))
                 after, answer = ledger.apply(before, request)
                 for statement, values in schema.changes(before, after):
                     await connection.execute(statement, *values)
@@ -35,12 +37,29 @@
 
         return await self.do(work)
 
+    async def act(self, tenure: Tenure, effects: Effects) -> None:
+        """See ``Backend``."""
+
+        async def work(connection: asyncpg.Connection) -> None:
+            async with connection.transaction():
+                if await connection.execute(schema.FENCE, *tenure) != "UPDATE 1":
+                    raise TermOverError(tenure)
+                for statement, values in effects:
+                    await connection.execute(statement, *values)
+
+        await self.do(work)
+
+    async def read(self, statement: str, values: tuple = ()) -> list[tuple]:
+        """See ``Backend``."""
+        return [tuple(row) for row in await self.do(lambda c: c.fetch(statement, *values))]
+
     async def look(self) -> Rows:
         """See ``Backend``."""
 
         async def work(connection: asyncpg.Connection) -> Rows:
             number = await connection.fetchval(schema.LOCK.removesuffix(" FOR UPDATE"))
-            return self._reader.rows(number, await connection.fetch(schema.MEMBERS))
+            return self._reader.rows(number, await connection.fetch(schema.MEMBERS),
+                                     await connection.fetch(schema.TASKS))
 
         return await self.do(work)
 
--- a/canvasplank/fleet/rows.py
+++ b/canvasplank/fleet/rows.py
@@ -22,6 +22,15 @@
     demand: int | None = None  # what it would use; None: not known yet
 
 
+class Task(msgspec.Struct, frozen=True):
+    """Work that one process does at a time; its term grows with each owner and never falls."""
+
+    term: int = 0
+    owner: int | None = None  # an incarnation, which may be no more
+    failures: int = 0  # in a row
+    failed_by: int | None = None
+
+
 class Member(msgspec.Struct, frozen=True):
     """One start of one proxy: its row."""
 
@@ -31,6 +40,7 @@
     most: int  # what its file says that there may be of proxies
     lease_ms: float  # and how long its leases run
     holdings: Mapping[str, Holding]
+    able: tuple[str, ...] = ()  # tasks that it would do
 
 
 class Sign(msgspec.Struct, frozen=True, order=True):
@@ -48,6 +58,7 @@
     members: dict[int, Member] = field(default_factory=dict)
     next_incarnation: int = 1
     unreadable: tuple[int, ...] = ()  # incarnations whose rows are of a form that is not ours
+    tasks: dict[str, Task] = field(default_factory=dict)
 
 
 class Request(msgspec.Struct, frozen=True):
@@ -61,6 +72,10 @@
     using: Mapping[str, Holding]  # ``held``: what it uses from now on at most
     dead: tuple[Sign, ...] = ()  # whom it has not heard of for a lease
     leaving: bool = False
+    able: tuple[str, ...] = ()  # tasks that it would do
+    ready: Mapping[str, int] = {}  # those that it would take over, by failures it knows of
+    given_up: tuple[str, ...] = ()  # tasks that it owned and failed at
+    done: tuple[str, ...] = ()  # tasks that it owns and did well at since the last request
 
 
 class Grant(msgspec.Struct, frozen=True):
@@ -78,3 +93,4 @@
     grants: Mapping[str, Grant] = {}
     seen: tuple[Sign, ...] = ()  # all rows there are now
     why: str = ""  # where there is no row, why
+    tasks: Mapping[str, Task] = {}  # all there are
--- a/canvasplank/fleet/schema.py
+++ b/canvasplank/fleet/schema.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from canvasplank.engine.migrations import Schema
-from canvasplank.fleet.rows import FORM, Holding, Member, Rows
+from canvasplank.fleet.rows import FORM, Holding, Member, Rows, Task
 
 LOG = logging.getLogger(__name__)
 
@@ -20,10 +20,15 @@
         "CREATE TABLE fleet_member (incarnation bigint PRIMARY KEY, name text NOT NULL, seq bigint NOT NULL, "
         "form integer NOT NULL, content text NOT NULL)",
     ),
+    (
+        "CREATE TABLE fleet_task (task text PRIMARY KEY, term bigint NOT NULL, owner bigint, "
+        "failures integer NOT NULL, failed_by bigint, acts bigint NOT NULL)",
+    ),
 ))
 # Everybody locks this row first: one transaction at a time.
 LOCK = "SELECT next_incarnation FROM fleet_state WHERE id = 1 FOR UPDATE"
 MEMBERS = "SELECT incarnation, name, seq, form, content FROM fleet_member ORDER BY incarnation"
+TASKS = "SELECT task, term, owner, failures, failed_by FROM fleet_task ORDER BY task"
 SET_NEXT = "UPDATE fleet_state SET next_incarnation = CAST($1 AS bigint) WHERE id = 1"
 DELETE = "DELETE FROM fleet_member WHERE incarnation = CAST($1 AS bigint)"
 UPSERT = (
@@ -31,6 +36,16 @@
     "CAST($2 AS text), CAST($3 AS bigint), CAST($4 AS integer), CAST($5 AS text)) "
     "ON CONFLICT (incarnation) DO UPDATE SET seq = excluded.seq, content = excluded.content"
 )
+SET_TASK = (
+    "INSERT INTO fleet_task (task, term, owner, failures, failed_by, acts) VALUES (CAST($1 AS text), "
+    "CAST($2 AS bigint), CAST($3 AS bigint), CAST($4 AS integer), CAST($5 AS bigint), 0) "
+    "ON CONFLICT (task) DO UPDATE SET term = excluded.term, owner = excluded.owner, "
+    "failures = excluded.failures, failed_by = excluded.failed_by"
+)
+# The first statement of every effect: it writes, so that the task's row stays locked until the commit, and it
+# finds nothing where the term is over.
+FENCE = ("UPDATE fleet_task SET acts = acts + 1 WHERE task = CAST($1 AS text) AND term = CAST($2 AS bigint) "
+         "AND owner = CAST($3 AS bigint)")
 
 
 class Content(msgspec.Struct, frozen=True):
@@ -39,6 +54,7 @@
     most: int
     lease_ms: float
     holdings: dict[str, Holding]
+    able: tuple[str, ...] = ()
 
 
 class Reader:
@@ -47,7 +63,8 @@
     def __init__(self) -> None:
         self._told: set[int] = set()
 
-    def rows(self, next_incarnation: int, found: Iterable[Iterable[Any]]) -> Rows:
+    def rows(self, next_incarnation: int, found: Iterable[Iterable[Any]],
+             tasks: Iterable[Iterable[Any]]) -> Rows:
         """The rows of one transaction."""
         members: dict[int, Member] = {}
         unreadable: list[int] = []
@@ -61,8 +78,9 @@
                 self._tell(incarnation, name, fault)
                 continue
             members[incarnation] = Member(incarnation, name, seq, content.most, content.lease_ms,
-                                          content.holdings)
-        return Rows(members, next_incarnation, tuple(unreadable))
+                                          content.holdings, content.able)
+        owned = {name: Task(*rest) for name, *rest in tasks}
+        return Rows(members, next_incarnation, tuple(unreadable), owned)
 
     def _tell(self, incarnation: int, name: str, fault: Exception) -> None:
         if incarnation not in self._told:
@@ -79,6 +97,9 @@
         yield DELETE, (incarnation,)
     for incarnation, member in after.members.items():
         if before.members.get(incarnation) != member:
-            content = Content(member.most, member.lease_ms, dict(member.holdings))
+            content = Content(member.most, member.lease_ms, dict(member.holdings), member.able)
             yield UPSERT, (incarnation, member.name, member.seq, FORM,
                            msgspec.json.encode(content).decode())
+    for name, task in after.tasks.items():
+        if before.tasks.get(name) != task:
+            yield SET_TASK, (name, task.term, task.owner, task.failures, task.failed_by)
--- a/canvasplank/fleet/sqlite.py
+++ b/canvasplank/fleet/sqlite.py
@@ -6,6 +6,7 @@
 
 from canvasplank.engine.sqlite import SqliteEngine, own, transaction
 from canvasplank.fleet import ledger, schema
+from canvasplank.fleet.backend import Effects, Tenure, TermOverError
 from canvasplank.fleet.rows import Answer, Request, Rows
 
 
@@ -29,6 +30,22 @@
 
         return await self.do(work)
 
+    async def act(self, tenure: Tenure, effects: Effects) -> None:
+        """See ``Backend``."""
+
+        def work(connection: sqlite3.Connection) -> None:
+            with transaction(connection):
+                if connection.execute(own(schema.FENCE), tenure).rowcount != 1:
+                    raise TermOverError(tenure)
+                for statement, values in effects:
+                    connection.execute(own(statement), values)
+
+        await self.do(work)
+
+    async def read(self, statement: str, values: tuple = ()) -> list[tuple]:
+        """See ``Backend``."""
+        return await self.do(lambda c: c.execute(own(statement), values).fetchall())
+
     async def look(self) -> Rows:
         """See ``Backend``."""
         return await self.do(self._read)
@@ -39,4 +56,5 @@
 
     def _read(self, connection: sqlite3.Connection) -> Rows:
         [number] = connection.execute(own(schema.LOCK)).fetchone()
-        return self._reader.rows(number, connection.execute(schema.MEMBERS).fetchall())
+        return self._reader.rows(number, connection.execute(schema.MEMBERS).fetchall(),
+                                 connection.execute(schema.TASKS).fetchall())
--- a/canvasplank/store/records.py
+++ b/canvasplank/store/records.py
@@ -31,6 +31,7 @@
     ended_ms: int | None = None
     ending: str | None = None  # ended, released (by its caller) or cut
     version: int = ANSWERED
+    member: str | None = None  # whose call it is, where the settings name members
 
     @property
     def key(self) -> Key:
--- a/canvasplank/store/schema.py
+++ b/canvasplank/store/schema.py
@@ -15,6 +15,11 @@
         "PRIMARY KEY (call_id, instance, taken_ms))",
     ),
     ("CREATE INDEX call_outcome_taken ON call_outcome (taken_ms)",),
+    # Whose call it is; which closing of the usage ledger has looked at it, and whether that counted it.
+    ("ALTER TABLE call_outcome ADD COLUMN member text",
+     "ALTER TABLE call_outcome ADD COLUMN closed_in bigint",
+     "ALTER TABLE call_outcome ADD COLUMN counted integer",
+     "CREATE INDEX call_outcome_closed ON call_outcome (closed_in, taken_ms)"),
 )
 SCHEMA = Schema("schema_version", 7_201_310, MIGRATIONS)
 
--- /dev/null
+++ b/canvasplank/work/usage.py
@@ -0,0 +1,95 @@
+"""The usage ledger in SQL: who used what in which period, closed once, and corrected by later closings.
+
+A closing looks at every record that none has looked at and that was taken before its period's end, chooses
+one record a call, and books the sums under the records' own periods.  A sum of a period that was closed
+before is a correction.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+
+from canvasplank.engine.migrations import Schema
+
+SCHEMA = Schema("usage_schema_version", 7_201_312, (
+    (
+        "CREATE TABLE usage_closing (closed_in bigint PRIMARY KEY, term bigint NOT NULL, "
+        "exported_term bigint)",
+        "CREATE TABLE usage_sum (closed_in bigint NOT NULL, period bigint NOT NULL, member text NOT NULL, "
+        "class_name text NOT NULL, final text NOT NULL, correction integer NOT NULL, calls bigint NOT NULL, "
+        "PRIMARY KEY (closed_in, period, member, class_name, final))",
+    ),
+))
+
+LAST_CLOSED = "SELECT max(closed_in) FROM usage_closing"
+WAITING = ("SELECT count(*) FROM call_outcome WHERE closed_in IS NULL AND taken_ms < CAST($1 AS bigint)")
+TO_EXPORT = "SELECT closed_in FROM usage_closing WHERE exported_term IS NULL ORDER BY closed_in"
+SUMS = ("SELECT period, member, class_name, final, correction, calls FROM usage_sum "
+        "WHERE closed_in = CAST($1 AS bigint) ORDER BY period, member, class_name, final")
+
+_CLOSE = "INSERT INTO usage_closing (closed_in, term) VALUES (CAST($1 AS bigint), CAST($2 AS bigint))"
+_LOOK_AT = ("UPDATE call_outcome SET closed_in = CAST($1 AS bigint), counted = 0 "
+            "WHERE closed_in IS NULL AND taken_ms < CAST($2 AS bigint)")
+# One record a call: what an earlier closing has counted stands; else the one that served, else the earliest.
+_SERVED_FIRST = "(CASE WHEN {0}.final = 'served' THEN 0 ELSE 1 END)"
+_THEIRS, _MINE = _SERVED_FIRST.format("other"), _SERVED_FIRST.format("call_outcome")
+_CHOOSE = (
+    "UPDATE call_outcome SET counted = 1 WHERE closed_in = CAST($1 AS bigint) AND NOT EXISTS ("
+    "SELECT 1 FROM call_outcome other WHERE other.call_id = call_outcome.call_id AND ("
+    "other.closed_in < call_outcome.closed_in AND other.counted = 1 "
+    f"OR other.closed_in = call_outcome.closed_in AND ({_THEIRS} < {_MINE} OR {_THEIRS} = {_MINE} AND ("
+    "other.taken_ms < call_outcome.taken_ms "
+    "OR other.taken_ms = call_outcome.taken_ms AND other.instance < call_outcome.instance))))"
+)
+_BOOK = (
+    "INSERT INTO usage_sum (closed_in, period, member, class_name, final, correction, calls) "
+    "SELECT CAST($1 AS bigint), taken_ms / CAST($2 AS bigint), COALESCE(member, ''), class_name, final, "
+    "CASE WHEN taken_ms / CAST($2 AS bigint) <= CAST($3 AS bigint) THEN 1 ELSE 0 END, count(*) "
+    "FROM call_outcome WHERE closed_in = CAST($1 AS bigint) AND counted = 1 "
+    "GROUP BY taken_ms / CAST($2 AS bigint), COALESCE(member, ''), class_name, final"
+)
+_EXPORTED = ("UPDATE usage_closing SET exported_term = CAST($1 AS bigint) "
+             "WHERE closed_in = CAST($2 AS bigint) AND exported_term IS NULL")
+_RETAIN = (
+    "DELETE FROM call_outcome WHERE taken_ms < CAST($1 AS bigint) AND closed_in IN "
+    "(SELECT closed_in FROM usage_closing WHERE exported_term IS NOT NULL)"
+)
+NONE_CLOSED = -1
+
+Effect = tuple[str, tuple]
+
+
+class Sum(msgspec.Struct, frozen=True):
+    """One line of the ledger."""
+
+    period: int  # number of the period: its start is this many periods after the Unix epoch
+    member: str
+    class_name: str
+    final: str
+    correction: int  # 1: of a period that was closed before
+    calls: int
+
+
+def due(now_ms: float, period_ms: int, grace_ms: float) -> int:
+    """The newest period that may be closed; the owner's own clock decides."""
+    return int((now_ms - grace_ms) // period_ms) - 1
+
+
+def closing(period: int, period_ms: int, last_closed: int | None, term: int) -> Iterator[Effect]:
+    """Closes a period; one that is closed already fails by its key, and changes nothing."""
+    yield _CLOSE, (period, term)
+    yield _LOOK_AT, (period, (period + 1) * period_ms)
+    yield _CHOOSE, (period,)
+    yield _BOOK, (period, period_ms, NONE_CLOSED if last_closed is None else last_closed)
+
+
+def exported(period: int, term: int) -> Iterator[Effect]:
+    """Notes that a closing's file is there."""
+    yield _EXPORTED, (term, period)
+
+
+def retention(before_ms: int) -> Iterator[Effect]:
+    """Removes records that have been counted and exported, and are older than is kept."""
+    yield _RETAIN, (before_ms,)
--- /dev/null
+++ b/canvasplank/work/worker.py
@@ -0,0 +1,151 @@
+"""A process that does the fleet's work: ``canvasplank worker``.
+
+It is in the fleet like a proxy, without budgets, and owns tasks under terms.  Whatever it does for one is
+done under the term that it was given: the store refuses the effect where that is over, however sure it is.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import os
+import signal
+import time
+from collections.abc import Awaitable, Callable, Iterator
+from pathlib import Path
+
+from canvasplank.background import BusyError, Thread
+from canvasplank.counters import Counters
+from canvasplank.engine.errors import StoreRefusedError, StoreUnavailableError
+from canvasplank.engine.migrations import Schema
+from canvasplank.events import event
+from canvasplank.fleet.agent import Agent
+from canvasplank.fleet.backend import Backend, Tenure, TermOverError
+from canvasplank.fleet.config import Fleet
+from canvasplank.store import schema as records
+from canvasplank.work import files, usage
+from canvasplank.work.config import Work
+from canvasplank.work.files import ContentError, FolderError
+from canvasplank.work.usage import Effect, Sum
+
+LOG = logging.getLogger(__name__)
+MS = 1000.0
+LEAVE_S = 1.0
+CLOSE, EXPORT, RETAIN = TASKS = ("close", "export", "retain")
+
+
+def pause(point: str) -> None:
+    """Stop here where ``CANVASPLANK_PAUSE`` names this point, until told to go on: for experiments."""
+    if os.environ.get("CANVASPLANK_PAUSE") == point:
+        event(LOG, "worker.paused", point=point)
+        os.kill(os.getpid(), signal.SIGSTOP)
+
+
+class Worker:
+    """One worker process."""
+
+    def __init__(self, fleet: Fleet, work: Work, name: str, seed: int) -> None:
+        self._work = work
+        self._folder = Path(work.folder)
+        self._agent = Agent(fleet, name, seed, Counters(), works=TASKS)
+        self._backend: Backend = fleet.open_with()
+        self._schemas: tuple[Schema, ...] = (records.SCHEMA, usage.SCHEMA)
+        self._open = False
+        self._thread = Thread("export")
+        self._steps: dict[str, Callable[[Tenure], Awaitable[bool]]] = {
+            CLOSE: self._close, EXPORT: self._export, RETAIN: self._retain}
+        self._stopping = asyncio.Event()
+
+    async def run(self) -> None:
+        """Work until told to stop; then hand everything over at once."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        self._agent.start()
+        while not self._stopping.is_set():
+            for tenure in self._agent.ownership.tenures():
+                await self._do(tenure)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._work.look_ms / MS):
+                    await self._stopping.wait()
+        await self._agent.close(LEAVE_S)
+        await self._backend.close()
+
+    async def _do(self, tenure: Tenure) -> None:
+        """One look at a task: what it comes to is told the fleet, or refused by it."""
+        ownership = self._agent.ownership
+        try:
+            if not self._open:
+                await self._prepare()
+            did = await self._steps[tenure.task](tenure)
+        except TermOverError as refused:
+            ownership.lost(tenure)
+            event(LOG, "worker.refused", text=f"refused: {refused}", task=tenure.task, term=tenure.term)
+        except (StoreUnavailableError, TimeoutError) as fault:
+            # Guards against taking the store's trouble for this worker's: elsewhere it would be no better.
+            self._open = False
+            event(LOG, "worker.waits", text=f"{tenure.task}: the store does not answer: {fault}",
+                  task=tenure.task)
+        except (StoreRefusedError, FolderError, ContentError, BusyError, OSError) as fault:
+            ownership.failed(tenure)
+            event(LOG, "worker.failed", text=f"{tenure.task} failed here and is given up: {fault}",
+                  task=tenure.task, term=tenure.term)
+        else:
+            ownership.did(tenure)
+            if did:
+                event(LOG, "worker.did", text=f"{tenure.task}: done", task=tenure.task, term=tenure.term)
+
+    async def _prepare(self) -> None:
+        await self._backend.open()
+        for each in self._schemas:
+            await self._backend.migrate(each)
+        self._open = True
+
+    # ------------------------------------------------------------------------------------ the tasks
+
+    async def _close(self, tenure: Tenure) -> bool:
+        work = self._work
+        period = usage.due(time.time() * MS, work.period_ms, work.grace_ms)
+        [(last,)] = await self._backend.read(usage.LAST_CLOSED)
+        if last is not None and int(last) >= period:
+            return False
+        [(waiting,)] = await self._backend.read(usage.WAITING, ((period + 1) * work.period_ms,))
+        if not int(waiting):
+            return False
+        pause("close:decided")
+        last_closed = None if last is None else int(last)
+        effects = usage.closing(period, work.period_ms, last_closed, tenure.term)
+        await self._backend.act(tenure, _paused(effects, "close:written"))
+        pause("close:committed")
+        return True
+
+    async def _export(self, tenure: Tenure) -> bool:
+        waiting = await self._backend.read(usage.TO_EXPORT)
+        for (number,) in waiting:
+            sums = [Sum(*row) for row in await self._backend.read(usage.SUMS, (int(number),))]
+            pause("export:read")
+            await self._thread.do(lambda sums=sums, number=number: self._publish(int(number), sums))
+            pause("export:linked")
+            await self._backend.act(tenure, usage.exported(int(number), tenure.term))
+            pause("export:marked")
+        return bool(waiting)
+
+    def _publish(self, number: int, sums: list[Sum]) -> None:
+        files.claim(self._folder)
+        files.sweep(self._folder)
+        for form in self._work.formats:
+            content = files.FORMATS[form](sums, self._work.period_ms)
+            files.publish(self._folder, f"usage-{number}.{form}", content, pause)
+
+    async def _retain(self, tenure: Tenure) -> bool:
+        before_ms = int(time.time() * MS - self._work.keep_ms)
+        pause("retain:decided")
+        await self._backend.act(tenure, _paused(usage.retention(before_ms), "retain:written"))
+        return False
+
+
+def _paused(effects: Iterator[Effect], point: str) -> Iterator[Effect]:
+    """Effects, and a point after the last of them, before the commit."""
+    yield from effects
+    pause(point)
--- a/standins/postgresql.py
+++ b/standins/postgresql.py
@@ -44,7 +44,7 @@
 
 
 SQLSTATES = {sqlite3.IntegrityError: "23505"}
-LOCKS = ("INSERT", "UPDATE", "DELETE", "CREATE")
+LOCKS = ("INSERT", "UPDATE", "DELETE", "CREATE", "ALTER")
 
 
 def own(sql: str) -> str:
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -315,7 +315,7 @@
         (Lease(2.0, 1.0, 0.0), LATE, without("seq")),
         (Lease(2.0, 1.0, 0.0), LAPSING, without("incarnation")),
         (Lease(2.0, 1.0, 0.0), LAPSING, without("sign")),
-    ], ids=["no margin", "the store lowers first", "a late one counts", "no incarnation", "renewal overlooked"])
+    ], ids=["no margin", "the store lowers first", "late ones count", "no incarnation", "renewal overlooked"])
     def test_it_finds_the_fault_where_a_check_is_taken_out(self, lease, bounds, apply):
         assert Explorer(lease, bounds, apply).run().path
 
