The notice board is asked at a rate for the whole fleet, where a file switches it on

Need: a board in trouble got 1.25 polls a second from each proxy for as long as it was, 375 from 300, in step at first.

Rows say who hears the board: who does not asks within a short spread, once a turn.

--- a/canvasplank/fleet/agent.py
+++ b/canvasplank/fleet/agent.py
@@ -51,6 +51,8 @@
         self._pace = Pace(fleet.renew_ms, random.Random(seed))
         self._open = False
         self._failing = False
+        self.hears: Callable[[], bool] = bool  # whether the notice board tells this proxy things
+        self.others_hear: Callable[[], None] = bool  # told when it tells others things
         self._told: dict[str, int] = {}  # the share last told of, by budget
         self._task: asyncio.Task | None = None
 
@@ -102,7 +104,7 @@
         sent_ms = self._clock()  # before anything is sent, or a connection made
         self.spender.settle(sent_ms)
         request = self.holder.request(sent_ms, self.spender.demands(sent_ms), self.watch.dead(sent_ms))
-        request = msgspec.structs.replace(request, **self.ownership.says(sent_ms))
+        request = msgspec.structs.replace(request, hears=self.hears(), **self.ownership.says(sent_ms))
         answer = await self._carry(request, self._fleet.request_ms / MS)
         if answer is None:
             return self._pace.after_failure(len(self.watch))
@@ -112,6 +114,8 @@
         if self.holder.answered(answer):
             self.ownership.heard(answer, now_ms)
         self.watch.saw(answer.seen, now_ms)
+        if answer.hear:
+            self.others_hear()
         self._tell(known, request, answer)
         if answer.incarnation is None:  # the next request joins anew, at once unless there are too many
             return self._pace.after_answer(eager=known is not None)
--- a/canvasplank/fleet/ledger.py
+++ b/canvasplank/fleet/ledger.py
@@ -68,9 +68,10 @@
         grants[budget] = Grant(share, target)
         holdings[budget] = msgspec.structs.replace(mine, held=share)
     member = Member(incarnation, request.name, request.seq, request.most, request.lease_ms, holdings,
-                    request.able)
+                    request.able, request.hears)
     after = _assign(replace(rows, members=others | {incarnation: member}), request, incarnation)
-    return after, Answer(incarnation, request.seq, grants, _signs(after), tasks=after.tasks)
+    hear = sum(other.hears for other in others.values())
+    return after, Answer(incarnation, request.seq, grants, _signs(after), tasks=after.tasks, hear=hear)
 
 
 def _assign(rows: Rows, request: Request, me: int) -> Rows:
--- a/canvasplank/fleet/part.py
+++ b/canvasplank/fleet/part.py
@@ -21,10 +21,18 @@
         configuration = host.configuration
         self._agent = Agent(settings, configuration.name, int(configuration.seed, 16), host.counters)
         host.controller.spend = self._spend
+        host.count_fleet = lambda: len(self._agent.watch)
+        self._agent.hears = lambda: host.board.heard_ms is not None
+        self._agent.others_hear = self._others_hear
+        self._host = host
 
     def _spend(self, call: api.Call, attempt: int, server_id: str, take: bool) -> float:
         return self._agent.spend(call.contract, attempt, server_id, take)
 
+    def _others_hear(self) -> None:
+        self._host.turns.begin()
+        self._host.board.heard_by_others()
+
     async def start(self) -> None:
         """See ``Part``; until there is a lease the proxy has its part of what is kept back."""
         self._agent.start()
--- a/canvasplank/fleet/rows.py
+++ b/canvasplank/fleet/rows.py
@@ -41,6 +41,7 @@
     lease_ms: float  # and how long its leases run
     holdings: Mapping[str, Holding]
     able: tuple[str, ...] = ()  # tasks that it would do
+    hears: bool = False  # the notice board tells it things
 
 
 class Sign(msgspec.Struct, frozen=True, order=True):
@@ -76,6 +77,7 @@
     ready: Mapping[str, int] = {}  # those that it would take over, by failures it knows of
     given_up: tuple[str, ...] = ()  # tasks that it owned and failed at
     done: tuple[str, ...] = ()  # tasks that it owns and did well at since the last request
+    hears: bool = False  # the notice board tells it things
 
 
 class Grant(msgspec.Struct, frozen=True):
@@ -94,3 +96,4 @@
     seen: tuple[Sign, ...] = ()  # all rows there are now
     why: str = ""  # where there is no row, why
     tasks: Mapping[str, Task] = {}  # all there are
+    hear: int = 0  # how many of the others the notice board tells things
--- a/canvasplank/fleet/schema.py
+++ b/canvasplank/fleet/schema.py
@@ -55,6 +55,7 @@
     lease_ms: float
     holdings: dict[str, Holding]
     able: tuple[str, ...] = ()
+    hears: bool = False
 
 
 class Reader:
@@ -78,7 +79,7 @@
                 self._tell(incarnation, name, fault)
                 continue
             members[incarnation] = Member(incarnation, name, seq, content.most, content.lease_ms,
-                                          content.holdings, content.able)
+                                          content.holdings, content.able, content.hears)
         owned = {name: Task(*rest) for name, *rest in tasks}
         return Rows(members, next_incarnation, tuple(unreadable), owned)
 
@@ -97,7 +98,7 @@
         yield DELETE, (incarnation,)
     for incarnation, member in after.members.items():
         if before.members.get(incarnation) != member:
-            content = Content(member.most, member.lease_ms, dict(member.holdings), member.able)
+            content = Content(member.most, member.lease_ms, dict(member.holdings), member.able, member.hears)
             yield UPSERT, (incarnation, member.name, member.seq, FORM,
                            msgspec.json.encode(content).decode())
     for name, task in after.tasks.items():
--- a/canvasplank/network/board.py
+++ b/canvasplank/network/board.py
@@ -5,6 +5,7 @@
 import logging
 import re
 from collections.abc import Callable
+from typing import Protocol
 
 import msgspec
 
@@ -49,6 +50,22 @@
         self._board.left(self)
 
 
+class Pace(Protocol):
+    """When to ask a board that a whole fleet asks; waits in milliseconds."""
+
+    def first(self) -> float:
+        """Before the first poll of all."""
+
+    def again(self) -> float:
+        """After a failure or a break."""
+
+    def well(self) -> None:
+        """It has told something."""
+
+    def hinted(self, now_ms: float) -> float | None:
+        """Somebody else hears it and we do not; None: no need to hurry."""
+
+
 class Board:
     """Follows the notice board from the last event known."""
 
@@ -62,6 +79,7 @@
         self._stream: BoardStream | None = None
         self._connecting: Connecting | None = None
         self._backoff = Backoff(turns, BACKOFF_MS, BACKOFF_MOST_MS)
+        self.pace: Pace | None = None  # None: by the doubling waits alone
         self._unread = 0  # times in a row that the next event could not be read
 
     @property
@@ -72,9 +90,23 @@
 
     def start(self) -> None:
         """Connect, and keep looking whether it still speaks."""
-        self._connect()
+        self._connect_first()
         self._look()
 
+    def _connect_first(self) -> None:
+        """At once, or where a whole fleet asks at the same time, in this proxy's place."""
+        if self.pace is None:
+            self._connect()
+        else:
+            self.turns.after(self.pace.first(), self._connect)
+
+    def heard_by_others(self) -> None:
+        """Another proxy hears it; where we do not, ask sooner than we would."""
+        if self.heard_ms is None and self.pace is not None:
+            wait_ms = self.pace.hinted(self.turns.now_ms)
+            if wait_ms is not None:
+                self.turns.after(wait_ms, self._connect)
+
     def move(self, address: str) -> None:
         """The board is elsewhere now: ask there at once, from the last event known.
 
@@ -90,7 +122,7 @@
         if stream is not None and stream.is_open:
             stream.transport.abort()
         self._backoff.succeeded()
-        self._connect()
+        self._connect_first()
 
     def _connect(self) -> None:
         if self._stream is not None:  # a wait from before the board moved
@@ -107,7 +139,7 @@
         """A connection has ended."""
         if self._stream is stream:
             self._stream = None
-            self._backoff.then(self._connect)
+            self._backoff.then(self._connect, None if self.pace is None else self.pace.again())
 
     def spoke(self, stream: BoardStream) -> None:
         """It says something, and has for a while: a later break is a fresh one.
@@ -135,6 +167,8 @@
             notice = None
         self._unread = 0
         self._backoff.succeeded()
+        if self.pace is not None:
+            self.pace.well()
         self.last_id = number
         if notice is not None:
             self._told(notice)
--- a/canvasplank/network/connecting.py
+++ b/canvasplank/network/connecting.py
@@ -83,8 +83,8 @@
         self._next_ms = self._first_ms
         self.failures = 0
 
-    def then(self, action: Callable[[], None]) -> None:
-        """Do it after the next wait; while one is under way, asking again changes nothing."""
+    def then(self, action: Callable[[], None], wait_ms: float | None = None) -> None:
+        """Do it after the next wait, or this one; while one is under way, asking again changes nothing."""
         if self._waiting:
             return
         self._waiting = True
@@ -94,5 +94,5 @@
             self._waiting = False
             action()
 
-        self._turns.after(self._next_ms, come_due)
+        self._turns.after(self._next_ms if wait_ms is None else wait_ms, come_due)
         self._next_ms = min(self._most_ms, 2 * self._next_ms)
--- a/canvasplank/parts.py
+++ b/canvasplank/parts.py
@@ -29,6 +29,7 @@
     servers: Servers
     board: Board
     controller: Controller
+    count_fleet: Callable[[], int]  # proxies in the fleet as far as is known; 0: nobody counts them
 
 
 class Part:
@@ -64,6 +65,7 @@
 TABLE = (
     Entry("CANVASPLANK_MEMBERSHIP", "canvasplank.membership.part"),
     Entry("CANVASPLANK_STORE", "canvasplank.store.part"),
+    Entry("CANVASPLANK_STARTING", "canvasplank.starting.part"),
     Entry("CANVASPLANK_FLEET", "canvasplank.fleet.part"),
     Entry("CANVASPLANK_LEARNING", "canvasplank.learning.part"),
 )
--- a/canvasplank/program.py
+++ b/canvasplank/program.py
@@ -79,6 +79,7 @@
         self._done = asyncio.Event()
         self._listening = False
         self._admin = Admin(self)
+        self.count_fleet: Callable[[], int] = int
         self._parts = [made(self) for made in switched]
 
     async def run(self) -> None:
--- /dev/null
+++ b/canvasplank/starting/__init__.py
@@ -0,0 +1,1 @@
+"""Starting by the hundred without a rush (off unless switched on)."""
--- a/standins/board.py
+++ b/standins/board.py
@@ -18,6 +18,8 @@
         self._news = asyncio.Condition()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()  # asyncio made them
+        self.in_trouble = False  # accepts, and closes at once
+        self.polls: list[float] = []  # when each came, in seconds of the loop's clock
 
     async def start(self) -> None:
         """Listen on a free port; after a stop at the same one, with the events told so far."""
@@ -53,6 +55,10 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._tasks.add(task := asyncio.current_task())
         task.add_done_callback(self._tasks.discard)
+        self.polls.append(asyncio.get_running_loop().time())
+        if self.in_trouble:
+            writer.close()
+            return
         # A handler that is cancelled at the end is no error for asyncio to print.
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
--- a/standins/server.py
+++ b/standins/server.py
@@ -40,6 +40,7 @@
     speed: float = 1.0
     silent: bool = False  # reads, and says nothing
     set_ups: int = 0
+    connections: int = 0  # open now
     stood: set[str] = field(default_factory=set)
     cancelled: set[str] = field(default_factory=set)
     _queue: deque[Job] = field(default_factory=deque)
@@ -103,11 +104,13 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         parser = sip.Parser()
+        self.connections += 1
         self._tasks.keep(self._tell(writer))
         with contextlib.suppress(OSError, asyncio.CancelledError):  # cancelled at the end: no error to print
             while data := await reader.read(16_384):
                 for message in parser.feed(data):
                     self._take(writer, message)
+        self.connections -= 1
         writer.close()
 
     async def _tell(self, writer: asyncio.StreamWriter) -> None:
