First connections to call servers come in turn, and at once where a call wants one

Need: hundreds of proxies that start at once each opened a connection to every call server in the same instant (100 in the first second at each of six servers).

--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -8,6 +8,7 @@
 
 import logging
 import re
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from canvasplank import interface as api
@@ -58,6 +59,7 @@
     tells: bool = False  # it has told the state of its lines
     streams: list[ServerStream] = field(default_factory=list)  # all that are up
     owed: dict[str, int] = field(default_factory=dict)  # causes of releases for the next connection
+    opens_ms: float = 0.0  # no sooner is its first connection made, unless a set-up wants it
 
 
 class ServerStream(Stream):
@@ -130,6 +132,7 @@
         self._peers: dict[str, Peer] = {}
         self._probes: dict[str, str] = {}
         self._probe_count = 0
+        self.opening: Callable[[], float] | None = None  # how long a first connection waits; None: not at all
         self._parting = False  # the program ends
         self._resend_ms = resend_ms or FIRST_RESEND_MS
         self.turns.after(LOOK_SHARE * self._resend_ms, self._look)
@@ -179,6 +182,8 @@
             backoff = Backoff(self.turns, BACKOFF_MS, BACKOFF_MOST_MS)
             peer = Peer(server.id, entry.host_port, server.state, server.started_ms, backoff)
             peer.heard_ms = self.turns.now_ms
+            if self.opening is not None:
+                peer.opens_ms = self.turns.now_ms + self.opening()
             self._peers[server.id] = peer
         elif entry.host_port != peer.address:
             peer.address = entry.host_port
@@ -258,7 +263,7 @@
             return
         headers = {"X-Tier": call.class_name, "X-Deadline": str(max(1, round(wait_ms)))}
         data = sip.request("INVITE", call.number, call.id, attempt + 1, headers, call.description)
-        self._connect(peer)
+        self._connect(peer, wanted=True)
         stream = peer.current
         if stream.is_open:
             self._invite(stream, call.id, attempt, data, call.class_name)
@@ -324,9 +329,12 @@
 
     # -------------------------------------------------------------------------------- connections
 
-    def _connect(self, peer: Peer) -> None:
-        """Have a current connection, up or on its way."""
-        if self._parting:
+    def _connect(self, peer: Peer, *, wanted: bool = False) -> None:
+        """Have a current connection, up or on its way; a first one in its turn, or as soon as it is wanted.
+
+        Guards a server against a connection from each of hundreds of proxies that start at once.
+        """
+        if self._parting or (self.turns.now_ms < peer.opens_ms and not wanted):
             return
         current = peer.current
         if current is not None and (current.is_open or current.connecting is not None):
--- a/standins/server.py
+++ b/standins/server.py
@@ -41,6 +41,7 @@
     silent: bool = False  # reads, and says nothing
     set_ups: int = 0
     connections: int = 0  # open now
+    accepted: list[float] = field(default_factory=list)  # when each came, in seconds of the loop's clock
     stood: set[str] = field(default_factory=set)
     cancelled: set[str] = field(default_factory=set)
     _queue: deque[Job] = field(default_factory=deque)
@@ -105,6 +106,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         parser = sip.Parser()
         self.connections += 1
+        self.accepted.append(asyncio.get_running_loop().time())
         self._tasks.keep(self._tell(writer))
         with contextlib.suppress(OSError, asyncio.CancelledError):  # cancelled at the end: no error to print
             while data := await reader.read(16_384):
