--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -14,6 +14,7 @@
 import time
 from pathlib import Path
 
+from checks.spending import most_in
 from standins.fleet import fleet
 from standins.server import CallServer
 
@@ -67,16 +68,6 @@
             return rows, [at - polls[0] for at in polls]
 
 
-def most_in(times: list[float], window_s: float) -> int:
-    """The most of them in any window."""
-    most = first = 0
-    for last, at in enumerate(times):
-        while times[first] <= at - window_s:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 def chart(polls: dict[str, list[float]], path: Path) -> None:
     """Polls a second over time, a line a variant."""
     import matplotlib
--- a/canvasplank/fleet/agent.py
+++ b/canvasplank/fleet/agent.py
@@ -13,6 +13,7 @@
 
 from canvasplank.counters import Counters
 from canvasplank.engine.errors import StoreRefusedError, StoreUnavailableError
+from canvasplank.engine.where import let_go
 from canvasplank.events import event
 from canvasplank.fleet.backend import Backend
 from canvasplank.fleet.config import Fleet
@@ -150,9 +151,7 @@
 
     async def _let_go(self) -> None:
         self._open = False
-        with contextlib.suppress(TimeoutError, StoreUnavailableError, StoreRefusedError):
-            async with asyncio.timeout(CLOSE_S):
-                await self._backend.close()
+        await let_go(self._backend, CLOSE_S)
 
     # ------------------------------------------------------------------------------------ what it tells
 
--- a/canvasplank/fleet/config.py
+++ b/canvasplank/fleet/config.py
@@ -3,17 +3,16 @@
 from __future__ import annotations
 
 from typing import Annotated, Literal
-from urllib.parse import urlsplit
 
 import msgspec
 
+from canvasplank.engine.where import check_where
 from canvasplank.fleet.backend import Backend
 from canvasplank.fleet.holder import Lease, Terms
 from canvasplank.fleet.spending import Kind, Scope
 from canvasplank.switch import load_switch
 
 Milliseconds = Annotated[float, msgspec.Meta(gt=0, le=600_000)]
-SCHEMES = ("postgresql", "postgres")
 THOUSANDTHS = 1000
 
 
@@ -74,13 +73,7 @@
 
 
 def _check(fleet: Fleet) -> None:
-    if fleet.backend == "sqlite" and not fleet.path:
-        raise ValueError("backend sqlite needs a path")
-    if fleet.backend == "postgresql":
-        where = urlsplit(fleet.dsn)
-        if where.scheme not in SCHEMES or not where.hostname or not where.path.strip("/"):
-            raise ValueError("backend postgresql needs a dsn like postgresql://user@host:5432/database")
-        _ = where.port  # raises where it is no port
+    check_where(fleet.backend, fleet.path, fleet.dsn)
     if fleet.lease().usable_ms() < 2 * fleet.renew_ms:
         raise ValueError("lease_ms, less drift and margin_ms, is less than two times renew_ms")
     if not fleet.budget:
--- a/canvasplank/store/config.py
+++ b/canvasplank/store/config.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 from typing import Annotated, Literal
-from urllib.parse import urlsplit
 
 import msgspec
 
+from canvasplank.engine.where import check_where
 from canvasplank.store.backend import Backend
 from canvasplank.switch import load_switch
 
 Milliseconds = Annotated[float, msgspec.Meta(gt=0, le=60_000)]
-SCHEMES = ("postgresql", "postgres")
 
 
 class Store(msgspec.Struct, forbid_unknown_fields=True):
@@ -43,10 +42,4 @@
 
 
 def _check(store: Store) -> None:
-    if store.backend == "sqlite" and not store.path:
-        raise ValueError("backend sqlite needs a path")
-    if store.backend == "postgresql":
-        where = urlsplit(store.dsn)
-        if where.scheme not in SCHEMES or not where.hostname or not where.path.strip("/"):
-            raise ValueError("backend postgresql needs a dsn like postgresql://user@host:5432/database")
-        _ = where.port  # raises where it is no port
+    check_where(store.backend, store.path, store.dsn)
--- a/canvasplank/store/writer.py
+++ b/canvasplank/store/writer.py
@@ -13,6 +13,7 @@
 from canvasplank import interface as api
 from canvasplank.counters import Counters
 from canvasplank.engine.errors import StoreRefusedError, StoreUnavailableError
+from canvasplank.engine.where import let_go
 from canvasplank.exchange import CallRecord
 from canvasplank.store.backend import Backend
 from canvasplank.store.outbox import Outbox
@@ -136,9 +137,7 @@
 
     async def _let_go(self) -> None:
         self._open = False
-        with contextlib.suppress(TimeoutError, StoreUnavailableError, StoreRefusedError):
-            async with asyncio.timeout(CLOSE_S):
-                await self._backend.close()
+        await let_go(self._backend, CLOSE_S)
 
     def _say(self, about: str, text: str) -> None:
         """One line, and no more of its kind for a while."""
--- a/checks/spending.py
+++ b/checks/spending.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -76,3 +76,13 @@
     """Units a second that all spent together in this time."""
     count = sum(began_ms <= at < ended_ms for trace in traces for at in trace.spent)
     return count * THOUSANDTHS / (ended_ms - began_ms)
+
+
+def most_in(times: Sequence[float], window: float) -> int:
+    """The most of these times, which are sorted, in any window."""
+    most = first = 0
+    for last, at in enumerate(times):
+        while times[first] <= at - window:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -12,6 +12,7 @@
 from canvasplank.settings import ConfigurationError
 from canvasplank.starting.part import load
 from canvasplank.starting.polls import MOST_MS, PollPace
+from checks.spending import most_in
 from standins.callers import Callers
 from standins.fleet import fleet
 from standins.server import CallServer
@@ -45,16 +46,6 @@
     return sorted(times)
 
 
-def most_in(times, window):
-    """The most of them in any window."""
-    most = first = 0
-    for last, at in enumerate(times):
-        while times[first] <= at - window:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 class TestPace:
     """The rule without processes."""
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -80,9 +80,9 @@
 # From the bottom up: a module imports only what stands before it.
 LAYERS = [
     "interface", "events", "codecs.errors", "codecs.isup", "codecs.sip", "codecs.sse", "counters",
-    "deadlines", "closing", "background", "engine.errors", "engine.migrations", "engine.sqlite",
-    "engine.postgresql", "fleet.rows", "fleet.division", "fleet.ledger", "fleet.holder", "fleet.watch",
-    "fleet.spending", "fleet.pace", "learning.view", "learning.merge", "policy", "settings", "switch",
+    "deadlines", "closing", "background", "engine.errors", "engine.where", "engine.migrations",
+    "engine.sqlite", "engine.postgresql", "fleet.rows", "fleet.division", "fleet.ledger", "fleet.holder",
+    "fleet.watch", "fleet.spending", "fleet.pace", "learning.view", "learning.merge", "policy", "settings", "switch",
     "learning.config", "learning.asking", "learning.exporting", "membership.kept", "membership.roster",
     "membership.keeper", "membership.config", "wirehost", "exchange", "store.records", "store.outbox",
     "store.schema", "store.backend", "store.sqlite", "store.postgresql", "store.config", "store.writer",
