--- a/standins/callers.py
+++ b/standins/callers.py
@@ -100,15 +100,20 @@
             isup.Parameter.FIGURES: b"dest:%d;width:1;via:-1" % self.random.randrange(self.pools),
             isup.Parameter.DESCRIPTION: b"offer " + made.id.encode(),
         }
-        self._streams[made.proxy].write(isup.encode(isup.Message(isup.Kind.SET_UP, made.id, parameters)))
+        self._write(made.proxy, isup.encode(isup.Message(isup.Kind.SET_UP, made.id, parameters)))
         asyncio.get_running_loop().call_later(kind.wait_s + 0.1, self._give_up, made)
         return made
 
     def _give_up(self, made: Try) -> None:
         if made.outcome == "open":
             made.outcome, made.answered_s = "given_up", time.time()
-            with contextlib.suppress(KeyError):
-                self._streams[made.proxy].write(isup.release(made.id, isup.Cause.NORMAL))
+            self._write(made.proxy, isup.release(made.id, isup.Cause.NORMAL))
+
+    def _write(self, address: str, data: bytes) -> None:
+        """On the connection to a proxy, where that is open; what cannot be written finds no answer."""
+        writer = self._streams.get(address)
+        if writer is not None and not writer.is_closing():
+            writer.write(data)
 
     async def _read(self, address: str, reader: asyncio.StreamReader) -> None:
         parser = isup.Parser()
@@ -119,13 +124,17 @@
         for made in self.tries.values():
             if made.proxy == address and made.outcome == "open":
                 made.outcome, made.answered_s = "lost", time.time()
+        if address in self.proxies:  # a proxy ends a connection that says nothing for long
+            with contextlib.suppress(OSError):
+                reader, self._streams[address] = await asyncio.open_connection(*split_address(address))
+                self._tasks.keep(self._read(address, reader))
 
     def _hear(self, address: str, message: isup.Message) -> None:
         made = self.tries.get(message.call_id)
         if made is None or message.kind not in (isup.Kind.ANSWER, isup.Kind.RELEASE):
             return
         if message.kind == isup.Kind.RELEASE:
-            self._streams[address].write(isup.release_heard(message.call_id))
+            self._write(address, isup.release_heard(message.call_id))
             if made.outcome == "served":
                 made.released_s = time.time()
                 return
@@ -146,6 +155,7 @@
 
     async def stop(self) -> None:
         """Go."""
+        self.proxies.clear()
         for writer in self._streams.values():
             writer.close()
         await self._tasks.end()
