What a server told before its restart is no measure of the cold one

Cause, found by reading: a report counted as fresh for 2 s even where the server had restarted meanwhile, and set 0.8 of the rule's multiple of its warm rate as the budget of a cold one. _start_cold forgets when it was told now; a test that fails without.

--- a/canvasplank/policy.py
+++ b/canvasplank/policy.py
@@ -485,8 +485,8 @@
         view.cold_until_ms = max(view.cold_until_ms, until_ms)
         while view.answered and view.answered[0] < started_ms:  # what it answered before proves nothing
             view.answered.popleft()
-        # All gateways are told at about the same time: their first set-ups are spread over one gap.
-        view.cold.fill, view.cold.last_ms = self._random.random() * SPLASH, self._now
+        view.cold.fill, view.cold.last_ms = self._random.random() * SPLASH, self._now  # all are told at once
+        view.told_ms = -NEVER  # nor does what it told
 
     def _share(self, view: ServerView) -> float:
         """The share of its capacity that a cold server surely has now."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -660,6 +660,12 @@
         assert sum_of_all == pytest.approx(most_share * RULES.tip_multiple * (told or 100.0), rel=0.01)
         assert sum_of_all < RULES.tip_multiple * (told or RULES.cold_share * 100.0)
 
+    def test_what_a_server_told_before_its_restart_is_no_measure_of_the_cold_one(self, gateway):
+        gateway.tell(api.ProbeAnswered("a", answered=True, report=report(100.0)))
+        gateway.servers(ready("a", 0, started_ms=gateway.now + 1), ready("b", 1))
+        rate = gateway.controller._cold_rate(gateway.controller._servers["a"])
+        assert rate * SETTINGS.instances < RULES.tip_multiple * RULES.cold_share * 100.0
+
     def test_a_cold_servers_answers_widen_its_budget_whatever_the_rules_multiple(self):
         """With a multiple of 2 the budget shrank below what the server had just answered."""
         g = Gateway(settings(rules=replace(RULES, tip_multiple=2.0)))
