A caller's repeats are one call in the usage ledger, counted with its last try

Need: the ledger counted each try, since records held no number to join them by.

Change: records hold the number called (a migration); a call that was not served waits repeat_ms for its repeat before a closing looks at it, and of tries to one number, in one class, for one member the last one counts.

--- a/benchmarks/ownership.py
+++ b/benchmarks/ownership.py
@@ -41,6 +41,7 @@
 period_ms = 1000
 grace_ms = 200.0
 look_ms = 200.0
+repeat_ms = 300.0
 """
 BATCH = 500
 
--- a/canvasplank/store/records.py
+++ b/canvasplank/store/records.py
@@ -32,6 +32,7 @@
     ending: str | None = None  # ended, released (by its caller) or cut
     version: int = ANSWERED
     member: str | None = None  # whose call it is, where the settings name members
+    number: str | None = None  # the number called: a caller's repeats are found by it
 
     @property
     def key(self) -> Key:
--- a/canvasplank/store/schema.py
+++ b/canvasplank/store/schema.py
@@ -20,6 +20,8 @@
      "ALTER TABLE call_outcome ADD COLUMN closed_in bigint",
      "ALTER TABLE call_outcome ADD COLUMN counted integer",
      "CREATE INDEX call_outcome_closed ON call_outcome (closed_in, taken_ms)"),
+    ("ALTER TABLE call_outcome ADD COLUMN number text",
+     "CREATE INDEX call_outcome_number ON call_outcome (number, taken_ms)"),
 )
 SCHEMA = Schema("schema_version", 7_201_310, MIGRATIONS)
 
--- a/canvasplank/store/writer.py
+++ b/canvasplank/store/writer.py
@@ -43,13 +43,13 @@
     def answered(self, call: CallRecord, final: str, now_ms: float) -> None:
         """See ``Recorder``."""
         self._put(Outcome(call.id, self._instance, int(call.taken_ms), call.class_name, final, call.tried,
-                          call.attempts, int(now_ms), member=call.tenant))
+                          call.attempts, int(now_ms), member=call.tenant, number=call.number))
 
     def over(self, call: CallRecord, outcome: api.Outcome, now_ms: float) -> None:
         """See ``Recorder``."""
         self._put(Outcome(call.id, self._instance, int(call.taken_ms), call.class_name, SERVED,
                           call.stands_at, call.attempts, int(call.stands_since_ms), int(now_ms),
-                          ENDINGS.get(outcome), OVER, call.tenant))
+                          ENDINGS.get(outcome), OVER, call.tenant, call.number))
 
     def _put(self, record: Outcome) -> None:
         was_empty = not len(self._outbox)
--- a/canvasplank/work/usage.py
+++ b/canvasplank/work/usage.py
@@ -25,14 +25,16 @@
 ))
 
 LAST_CLOSED = "SELECT max(closed_in) FROM usage_closing"
-WAITING = ("SELECT count(*) FROM call_outcome WHERE closed_in IS NULL AND taken_ms < CAST($1 AS bigint)")
 TO_EXPORT = "SELECT closed_in FROM usage_closing WHERE exported_term IS NULL ORDER BY closed_in"
 SUMS = ("SELECT period, member, class_name, final, correction, calls FROM usage_sum "
         "WHERE closed_in = CAST($1 AS bigint) ORDER BY period, member, class_name, final")
 
 _CLOSE = "INSERT INTO usage_closing (closed_in, term) VALUES (CAST($1 AS bigint), CAST($2 AS bigint))"
-_LOOK_AT = ("UPDATE call_outcome SET closed_in = CAST($1 AS bigint), counted = 0 "
-            "WHERE closed_in IS NULL AND taken_ms < CAST($2 AS bigint)")
+# One that was not served may yet come again: it is looked at once that time is over.
+_WAITS = ("closed_in IS NULL AND taken_ms < CAST({before} AS bigint) - CASE WHEN final = 'served' "
+          "OR number IS NULL THEN 0 ELSE CAST({repeat} AS bigint) END")
+_LOOK_AT = ("UPDATE call_outcome SET closed_in = CAST($1 AS bigint), counted = 0 WHERE "
+            + _WAITS.format(before="$2", repeat="$3"))
 # One record a call: what an earlier closing has counted stands; else the one that served, else the earliest.
 _SERVED_FIRST = "(CASE WHEN {0}.final = 'served' THEN 0 ELSE 1 END)"
 _THEIRS, _MINE = _SERVED_FIRST.format("other"), _SERVED_FIRST.format("call_outcome")
@@ -44,6 +46,22 @@
     "other.taken_ms < call_outcome.taken_ms "
     "OR other.taken_ms = call_outcome.taken_ms AND other.instance < call_outcome.instance))))"
 )
+# A caller's repeats are one call, counted with its last try: none that was not served and came again, and
+# none that comes again after one that an earlier closing has counted.
+_SAME_CALLER = ("other.number = call_outcome.number AND other.class_name = call_outcome.class_name "
+                "AND COALESCE(other.member, '') = COALESCE(call_outcome.member, '') "
+                "AND other.call_id <> call_outcome.call_id")
+_NO_REPEATS = (
+    "UPDATE call_outcome SET counted = 0 WHERE closed_in = CAST($1 AS bigint) AND counted = 1 AND EXISTS ("
+    f"SELECT 1 FROM call_outcome other WHERE {_SAME_CALLER} AND ("
+    "call_outcome.final <> 'served' AND other.closed_in = call_outcome.closed_in "
+    "AND other.taken_ms > call_outcome.taken_ms "
+    "AND other.taken_ms <= call_outcome.taken_ms + CAST($2 AS bigint) "
+    "OR other.final <> 'served' AND other.closed_in < call_outcome.closed_in AND other.counted = 1 "
+    "AND other.taken_ms < call_outcome.taken_ms "
+    "AND other.taken_ms >= call_outcome.taken_ms - CAST($2 AS bigint)))"
+)
+WAITING = "SELECT count(*) FROM call_outcome WHERE " + _WAITS.format(before="$1", repeat="$2")
 _BOOK = (
     "INSERT INTO usage_sum (closed_in, period, member, class_name, final, correction, calls) "
     "SELECT CAST($1 AS bigint), taken_ms / CAST($2 AS bigint), COALESCE(member, ''), class_name, final, "
@@ -100,11 +118,13 @@
     return Closing(last + 1, before_ms) if last > period and late else None
 
 
-def closing(made: Closing, period_ms: int, last_closed: int | None, term: int) -> Iterator[Effect]:
+def closing(made: Closing, period_ms: int, repeat_ms: int, last_closed: int | None,
+            term: int) -> Iterator[Effect]:
     """Closes a period; one that is closed already fails by its key, and changes nothing."""
     yield _CLOSE, (made.number, term)
-    yield _LOOK_AT, (made.number, made.before_ms)
+    yield _LOOK_AT, (made.number, made.before_ms, repeat_ms)
     yield _CHOOSE, (made.number,)
+    yield _NO_REPEATS, (made.number, repeat_ms)
     yield _BOOK, (made.number, period_ms, NONE_CLOSED if last_closed is None else last_closed)
 
 
--- a/canvasplank/work/worker.py
+++ b/canvasplank/work/worker.py
@@ -113,12 +113,12 @@
         made = usage.next_closing(time.time() * MS, work.period_ms, work.grace_ms, last, late)
         if made is None:
             return False
-        [(waiting,)] = await self._backend.read(usage.WAITING, (made.before_ms,))
+        [(waiting,)] = await self._backend.read(usage.WAITING, (made.before_ms, int(work.repeat_ms)))
         if not int(waiting):
             return False
         pause("close:decided")
         self._closed_ms = time.monotonic() * MS
-        effects = usage.closing(made, work.period_ms, last, tenure.term)
+        effects = usage.closing(made, work.period_ms, int(work.repeat_ms), last, tenure.term)
         await self._backend.act(tenure, _paused(effects, "close:written"))
         pause("close:committed")
         return True
