A set-up that the budgets allow settles its buckets once, not twice

Seen on re-reading: the agent asked wait_ms and then spend, which asks it again, on the way of every set-up where budgets are on. take does the second half alone; what is allowed is the same, and the tests of budgets pass unchanged.

--- a/canvasplank/fleet/agent.py
+++ b/canvasplank/fleet/agent.py
@@ -67,7 +67,7 @@
         if wait_ms > 0:
             self._counters.add("fleet.waits")
         elif take:
-            self.spender.spend(budgets, now_ms)
+            self.spender.take(budgets)
             self._counters.add("fleet.spent")
             if self._fleet.trace:
                 event(LOG, "budget.spent", budgets=budgets, at_ms=now_ms)
