--- a/canvasplank/fleet/agent.py
+++ b/canvasplank/fleet/agent.py
@@ -63,14 +63,14 @@
         """How long until a set-up may go by the budgets; 0: now, and with ``take`` it goes."""
         now_ms = self._clock()
         budgets = self.spender.covering(contract, attempt, server_id)
-        wait_ms = self.spender.wait_ms(budgets, now_ms)
-        if wait_ms > 0:
-            self._counters.add("fleet.waits")
-        elif take:
-            self.spender.take(budgets)
+        if take and self.spender.spend(budgets, now_ms):
             self._counters.add("fleet.spent")
             if self._fleet.trace:
                 event(LOG, "budget.spent", budgets=budgets, at_ms=now_ms)
+            return 0.0
+        wait_ms = self.spender.wait_ms(budgets, now_ms)
+        if wait_ms > 0:
+            self._counters.add("fleet.waits")
         return min(wait_ms, WAIT_MOST_MS)
 
     # ------------------------------------------------------------------------------------ the task
--- a/canvasplank/fleet/spending.py
+++ b/canvasplank/fleet/spending.py
@@ -139,14 +139,10 @@
         budgets = list(budgets)
         if self.wait_ms(budgets, now_ms) > 0:
             return False
-        self.take(budgets)
-        return True
-
-    def take(self, budgets: Iterable[str]) -> None:
-        """Take a unit of each, where ``wait_ms`` has just said that it is there."""
         for budget in budgets:
             self._buckets[budget].spend()
             self._demands[budget].spent()
+        return True
 
     def demands(self, now_ms: float) -> dict[str, int | None]:
         """What to report."""
