--- a/canvasplank/codecs/sse.py
+++ b/canvasplank/codecs/sse.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
 from canvasplank.codecs.errors import MESSAGE_MOST, BadMessageError
 
 _EVENT_MOST = 16 * MESSAGE_MOST  # a whole list of servers is one event
 _STATUS_PARTS = 2
+_SECONDS = re.compile(r"[0-9]{1,9}", re.ASCII)
 _CHUNK_LENGTH = re.compile(rb"[0-9A-Fa-f]{1,8}")
 
 
@@ -35,6 +36,7 @@
     def __init__(self) -> None:
         self._raw = bytearray()  # as it came
         self._text = bytearray()  # the body, freed of its chunks
+        self.named_wait_ms = 0.0  # a refusal asks to be left alone for so long
         self._in_body = False
         self._chunked = False
         self._chunk_left = 0
@@ -79,11 +81,12 @@
         status, *lines = self._raw[:end].decode("latin-1").split("\r\n")
         del self._raw[: end + 4]
         parts = status.split(" ")
+        fields = (line.partition(":") for line in lines)
+        headers = {name.strip().lower(): value.strip() for name, _, value in fields}
         if len(parts) < _STATUS_PARTS or not parts[0].startswith("HTTP/1.") or parts[1] != "200":
+            self.named_wait_ms = _named_wait_ms(headers)
             raise BadMessageError(f"not a success: {status[:80]!r}")
-        fields = (line.lower().partition(":") for line in lines)
-        headers = {name.strip(): value.strip() for name, _, value in fields}
-        self._chunked = headers.get("transfer-encoding") == "chunked"
+        self._chunked = headers.get("transfer-encoding", "").lower() == "chunked"
         self._in_body = True
         return True
 
@@ -122,3 +125,17 @@
                 self._id = value.removeprefix(" ")
             elif name == "data":
                 self._data.append(value.removeprefix(" "))
+
+
+def _named_wait_ms(headers: Mapping[str, str]) -> float:
+    """RFC 9110's ``Retry-After``: seconds, or a date against the answer's own; 0: none that can be read."""
+    named = headers.get("retry-after", "")
+    if _SECONDS.fullmatch(named):
+        return float(named) * 1000
+    from email.utils import parsedate_to_datetime  # only here: costs every start what few refusals need
+
+    try:
+        until, said = parsedate_to_datetime(named), parsedate_to_datetime(headers.get("date", ""))
+        return max(0.0, (until - said).total_seconds() * 1000)
+    except (ValueError, TypeError, OverflowError):  # TypeError: one of them names its zone and the other not
+        return 0.0
--- a/canvasplank/exchange.py
+++ b/canvasplank/exchange.py
@@ -303,6 +303,11 @@
         """What became of a probe."""
         self._tell(api.ProbeAnswered(server_id, answered, report))
 
+    def carries(self, server_id: str) -> bool:
+        """Whether a call stands at this server, or an attempt is out there."""
+        return any(call.stands_at == server_id for call in self._standing.values()) or any(
+            call.out is not None and call.out.server_id == server_id for call in self._open.values())
+
     def process_over(self, server_id: str, started_before_ms: float, *, tell_server: bool = False) -> None:
         """A server's process has ended without releasing its calls: release those that it held.
 
--- a/canvasplank/fleet/agent.py
+++ b/canvasplank/fleet/agent.py
@@ -49,6 +49,7 @@
         self.watch = Watch(fleet.lease())
         scopes = {budget: scope for budget, scope in fleet.scopes().items() if budget in terms}
         self.spender = Spender(self.holder, scopes, fleet.burst_ms, clock())
+        self._for_all = next((budget for budget, scope in scopes.items() if scope.kind == "set-ups"), None)
         self._pace = Pace(fleet.renew_ms, random.Random(seed))
         self._open = False
         self._failing = False
@@ -73,6 +74,12 @@
             self._counters.add("fleet.waits")
         return min(wait_ms, WAIT_MOST_MS)
 
+    def part_of_set_ups(self) -> float | None:
+        """What this proxy may send now of what all may; None: no budget is for all set-ups."""
+        if (budget := self._for_all) is None:
+            return None
+        return self.holder.allowance(budget, self._clock()) / self.holder.terms[budget].whole
+
     # ------------------------------------------------------------------------------------ the task
 
     def start(self) -> None:
--- a/canvasplank/fleet/part.py
+++ b/canvasplank/fleet/part.py
@@ -22,6 +22,7 @@
         self._agent = Agent(settings, configuration.name, int(configuration.seed, 16), host.counters)
         host.controller.spend = self._spend
         host.count_fleet = lambda: len(self._agent.watch)
+        host.part_of_fleet = self._agent.part_of_set_ups
         self._agent.hears = lambda: host.board.heard_ms is not None
         self._agent.others_hear = self._others_hear
         self._host = host
--- a/canvasplank/interface.py
+++ b/canvasplank/interface.py
@@ -176,6 +176,8 @@
     pool: int
     state: ServerState
     started_ms: float | None = None  # its latest start; None: long ago
+    senders: int | None = None  # gateways that share it, at the most; None: all
+    begin_per_s: float | None = None  # our first rate there where a whole fleet starts; None: no bound
 
 
 @dataclass(frozen=True, slots=True)
--- a/canvasplank/learning/asking.py
+++ b/canvasplank/learning/asking.py
@@ -11,6 +11,8 @@
 import asyncio
 import logging
 import struct
+import time
+from collections.abc import Sequence
 
 from canvasplank.closing import close_quietly
 from canvasplank.learning.view import MOST_BYTES, PeerView, ViewError, decode
@@ -19,6 +21,7 @@
 LOG = logging.getLogger(__name__)
 ASK = b"view\n"
 LENGTH = struct.Struct(">I")
+ASKED_MOST = 3  # peers, one after another
 BOUND_S = 0.5  # what a start may wait for a peer, all told
 
 
@@ -35,7 +38,22 @@
         why = f"no whole answer within {bound_s * 1000:.0f} ms"
     except (OSError, ValueError, RefusedError, asyncio.IncompleteReadError) as fault:
         why = " ".join(str(fault).split()) or type(fault).__name__
-    LOG.warning("no view taken from %s: %s; starting as one that asked no one", address, why)
+    LOG.warning("no view taken from %s: %s; as one that asked no one", address, why)
+    return None
+
+
+async def ask_in_turn(addresses: Sequence[str], bound_s: float = BOUND_S) -> PeerView | None:
+    """The first view that one of them gives, asked one after another; all of it within ``bound_s``.
+
+    Each has an even part of what is left: guards against one that hangs taking the time of all.
+    """
+    until_s = time.monotonic() + bound_s
+    for place, address in enumerate(addresses[:ASKED_MOST]):
+        left_s = until_s - time.monotonic()
+        if left_s <= 0:
+            break
+        if (seen := await ask(address, left_s / (min(ASKED_MOST, len(addresses)) - place))) is not None:
+            return seen
     return None
 
 
--- a/canvasplank/learning/config.py
+++ b/canvasplank/learning/config.py
@@ -18,14 +18,19 @@
 
 
 class Learning(msgspec.Struct, forbid_unknown_fields=True):
-    """Whom to ask at the start (``peer``), where to answer others (``listen``), and how age counts."""
+    """Whom to ask at the start (``peer``, ``peers``), where to answer others (``listen``), how age counts."""
 
     peer: str = ""
+    peers: list[str] = []
     listen: str = ""
     bound_ms: Positive = 500.0
     half_life_ms: Positive = HALF_LIFE_MS
     most_age_ms: Positive = MOST_AGE_MS
 
+    def asked(self) -> list[str]:
+        """Every peer that may be asked, once."""
+        return list(dict.fromkeys(filter(None, [self.peer, *self.peers])))
+
 
 def load_learning(path: str) -> Learning:
     """Read the file."""
@@ -33,5 +38,5 @@
 
 
 def _check(learning: Learning) -> None:
-    for address in filter(None, (learning.peer, learning.listen)):
+    for address in (*learning.asked(), *filter(None, [learning.listen])):
         split_address(address)
--- a/canvasplank/learning/part.py
+++ b/canvasplank/learning/part.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import logging
+import random
 
-from canvasplank.learning.asking import ask
+from canvasplank.learning.asking import ask_in_turn
 from canvasplank.learning.config import Learning, load_learning
 from canvasplank.learning.exporting import Exporter
 from canvasplank.learning.merge import Listed, exported, hints, told
@@ -33,10 +34,12 @@
             exporter = Exporter(lambda: exported(name, host.controller.learned(), host.turns.now_ms))
             await exporter.listen(settings.listen)
             LOG.info("views for new instances at %s", settings.listen)
-        if not settings.peer:
+        peers = settings.asked()
+        if not peers:
             return
         host.counters.add("learning.views_asked")
-        seen = await ask(settings.peer, settings.bound_ms / 1000)
+        random.Random(int(host.configuration.seed, 16)).shuffle(peers)  # guards one against all asking it
+        seen = await ask_in_turn(peers, settings.bound_ms / 1000)
         host.turns.begin()
         if seen is None:
             host.counters.add("learning.views_refused")
@@ -45,5 +48,5 @@
         found = hints(seen, host.turns.now_ms, listed, None, settings.half_life_ms, settings.most_age_ms)
         host.counters.add("learning.views_taken")
         host.exchange.hinted(told(found))
-        LOG.info("took a view of %d servers from %s: %d still count", len(seen.servers), settings.peer,
+        LOG.info("took a view of %d servers from %s: %d still count", len(seen.servers), seen.peer,
                  len(found))
--- a/canvasplank/network/board.py
+++ b/canvasplank/network/board.py
@@ -56,8 +56,8 @@
     def first(self) -> float:
         """Before the first poll of all."""
 
-    def again(self) -> float:
-        """After a failure or a break."""
+    def again(self, now_ms: float, named_ms: float) -> float:
+        """After a failure or a break; ``named_ms``: so long the board itself wants to be left alone."""
 
     def well(self) -> None:
         """It has told something."""
@@ -139,7 +139,8 @@
         """A connection has ended."""
         if self._stream is stream:
             self._stream = None
-            self._backoff.then(self._connect, None if self.pace is None else self.pace.again())
+            self._backoff.then(self._connect, None if self.pace is None else self.pace.again(
+                self.turns.now_ms, stream.parser.named_wait_ms))
 
     def spoke(self, stream: BoardStream) -> None:
         """It says something, and has for a while: a later break is a fresh one.
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -7,7 +7,7 @@
 import os
 import re
 import socket
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 
 from canvasplank.codecs import isup
 from canvasplank.codecs.errors import BadMessageError
@@ -124,6 +124,7 @@
         self.accepting = True
         self.parting = False  # connections are ending: a set-up that crosses that is sent again elsewhere
         self.quiesced = False  # the operators send callers away: connections go as soon as nothing is open
+        self.able: Callable[[], bool] = lambda: True  # whether a call could be served at all
         self._owed: dict[str, int] = {}  # releases that wait for a connection, with their causes
         self.limit(sockets)
         self._idle_ms = idle_ms
@@ -164,6 +165,11 @@
         for stream in list(self.streams):
             stream.finish()
 
+    @property
+    def takes_callers(self) -> bool:
+        """Whether a test is passed: new callers may be sent here."""
+        return not self.exchange.closing and not self.quiesced and self.able()
+
     def quiesce(self) -> None:
         """Send callers away: each connection is closed once it has no open set-up, from now on."""
         self.quiesced = True
@@ -265,7 +271,7 @@
             case isup.Kind.RELEASE_HEARD:
                 stream.unheard.pop(message.call_id, None)
             case isup.Kind.TEST:
-                stream.write(isup.test_result(message.call_id, not (self.exchange.closing or self.quiesced)))
+                stream.write(isup.test_result(message.call_id, self.takes_callers))
             case isup.Kind.PROGRESS:
                 pass  # free, means nothing
             case _:
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -8,8 +8,8 @@
 
 import logging
 import re
-from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from canvasplank import interface as api
 from canvasplank.codecs import sip
@@ -62,6 +62,22 @@
     opens_ms: float = 0.0  # no sooner is its first connection made, unless a set-up wants it
 
 
+class Opening(Protocol):
+    """How one of many proxies comes to its servers, where a file says so (``starting``)."""
+
+    def narrowed(self, complete: bool, instances: list[Instance]) -> list[Instance]:
+        """The whole of what this proxy keeps to after this news of the list."""
+
+    def entered(self, server: api.Server) -> api.Server:
+        """An entry with what the module is to know of it besides."""
+
+    def first_ms(self) -> float:
+        """How long the first connection to a server waits."""
+
+    def let_go(self, server_id: str) -> bool:
+        """Whether one that is in the list no more is so by our choice alone, with nothing of ours there."""
+
+
 class ServerStream(Stream):
     """One connection to a server."""
 
@@ -132,7 +148,7 @@
         self._peers: dict[str, Peer] = {}
         self._probes: dict[str, str] = {}
         self._probe_count = 0
-        self.opening: Callable[[], float] | None = None  # how long a first connection waits; None: not at all
+        self.opening: Opening | None = None  # None: all servers, all at once
         self._parting = False  # the program ends
         self._resend_ms = resend_ms or FIRST_RESEND_MS
         self.turns.after(LOOK_SHARE * self._resend_ms, self._look)
@@ -162,17 +178,33 @@
         guards against a new server passing for unreachable on the very news of it.  The rest follows after,
         so that it meets the module's new view.
         """
+        if self.opening is not None:
+            complete, instances = True, self.opening.narrowed(complete, instances)
         entries = {instance.instance_id: instance for instance in instances}
         kind = api.ListKind.COMPLETE if complete else api.ListKind.CHANGES
         missing = [p for p in self._peers.values() if complete and p.server_id not in entries]
         for entry in entries.values():
             self._admit(entry)
-        self.exchange.listed(kind, tuple(server_of(entry) for entry in entries.values()))
+        self.exchange.listed(kind, tuple(self._told(entry) for entry in entries.values()))
         for peer in missing:
-            self._gone(peer)
+            if self.opening is not None and self.opening.let_go(peer.server_id):
+                self._let_go(peer)
+            else:
+                self._gone(peer)
         for entry in entries.values():
             self._entry(entry)
 
+    def _told(self, entry: Instance) -> api.Server:
+        return server_of(entry) if self.opening is None else self.opening.entered(server_of(entry))
+
+    def _let_go(self, peer: Peer) -> None:
+        """It goes on without us: we have nothing there, and say no more."""
+        del self._peers[peer.server_id]
+        if peer.current is not None and peer.current.connecting is not None:
+            self._failed(peer.current, "left to others")
+        for stream in list(peer.streams):
+            stream.finish()
+
     def _admit(self, entry: Instance) -> None:
         server = server_of(entry)
         peer = self._peers.get(server.id)
@@ -183,7 +215,7 @@
             peer = Peer(server.id, entry.host_port, server.state, server.started_ms, backoff)
             peer.heard_ms = self.turns.now_ms
             if self.opening is not None:
-                peer.opens_ms = self.turns.now_ms + self.opening()
+                peer.opens_ms = self.turns.now_ms + self.opening.first_ms()
             self._peers[server.id] = peer
         elif entry.host_port != peer.address:
             peer.address = entry.host_port
--- a/canvasplank/parts.py
+++ b/canvasplank/parts.py
@@ -30,6 +30,7 @@
     board: Board
     controller: Controller
     count_fleet: Callable[[], int]  # proxies in the fleet as far as is known; 0: nobody counts them
+    part_of_fleet: Callable[[], float | None]  # of all set-ups, this proxy's; None: nobody divides them
 
 
 class Part:
@@ -41,6 +42,10 @@
     def told(self, notice: Notice) -> None:
         """The notice board has told something; the call servers have it already."""
 
+    def ready(self) -> bool:
+        """Whether callers may be sent here, as far as this part knows."""
+        return True
+
     def reloaded(self) -> None:
         """The configuration was read again."""
 
--- a/canvasplank/policy.py
+++ b/canvasplank/policy.py
@@ -51,6 +51,7 @@
 # predecessor told a better one, and its own fresh report the best; or so many times what it answers us now.
 COLD_BY_LINES, COLD_BY_POOL, COLD_BY_REPORT, COLD_TIMES = 0.3, 0.6, 0.8, 1.2
 FRESH_MS = 2000.0  # so long a report counts as of now
+BEGIN_MS = 10_000.0  # where hundreds start at once, first set-ups come evenly spaced for so long
 MARGIN_MS, MARGIN_TICKS = 25.0, 2  # a final answer leaves both before the caller's time is up
 MARGIN_SHARE = 0.1  # of the caller's wait, where that is less than MARGIN_MS
 STALL_TICKS = 4  # a timer so late tells that this gateway stood still
@@ -108,6 +109,9 @@
         self.capacity: float | None = None  # set-ups a second from all senders, told while it had no wait
         self.told_ms = -NEVER  # when it last told that itself
         self.bucket = LeakyBucket(now_ms, dither)
+        self.bucket.rate = NEVER if entry.begin_per_s is None else entry.begin_per_s
+        self.begin_until_ms = -NEVER if entry.begin_per_s is None else now_ms + BEGIN_MS
+        self.senders = 1  # gateways that share it
         self.pending: dict[str, float] = {}  # unanswered set-ups of ours, by call, with the time of sending
         self.answered: deque[float] = deque()  # when our set-ups were answered, one look back at most
         self.cold = LeakyBucket(now_ms, dither)  # one deep, for the budget of a cold server
@@ -116,7 +120,7 @@
         self.least_ms: float | None = None  # the least: the way there and back, without a wait
         self.slow = True  # no answer has come in time since the last that took too long
         self.calm = 0  # answers in a row that hardly waited
-        self.spared: float | None = None  # the rate before a cut that no 'full' has borne out
+        self.spared = None if entry.begin_per_s is None else NEVER  # the rate before a cut without a 'full'
         self.heard_ms = now_ms  # when it last said anything
         self.heard_sent_ms = -1.0  # the latest send time among the set-ups that it has answered
         self.stood_sent_ms = -1.0  # and among those whose calls stand
@@ -283,8 +287,7 @@
         if view is None or view.answered or view.pending:
             return
         if hint.rate_per_s is not None:
-            floor = FLOOR_RATE * self._part(view)
-            view.bucket.rate = min(view.bucket.rate, max(hint.rate_per_s, floor))
+            view.bucket.rate = min(view.bucket.rate, max(hint.rate_per_s, FLOOR_RATE * self._part(view)))
             view.quiet_ms = self._now
         if hint.shun:
             self._fall_silent(view, "a running peer saw it so")
@@ -317,9 +320,8 @@
                 view.silent = False
                 view.heard_sent_ms = view.restarted_ms = self._now
                 self._start_cold(view, entry.started_ms, self._settings.rules.warm_within_ms)
-            view.started_ms = entry.started_ms
-            view.pool = entry.pool
-            view.state = entry.state
+            view.started_ms, view.pool, view.state = entry.started_ms, entry.pool, entry.state
+            view.senders = entry.senders or self._settings.instances
         if event.kind is not api.ListKind.CHANGES:
             for view in [v for v in self._servers.values() if v.server_id not in named]:
                 self._drop_server(view)
@@ -470,12 +472,12 @@
         """This gateway's even share of what a server takes a second, by its reports and its lines."""
         by_lines = view.lines * SECOND_MS / self._hold_ms if view.lines and self._hold_ms else None
         whole = min(filter(None, (by_lines, view.capacity)), default=None)
-        return whole and whole / self._settings.instances
+        return whole and whole / view.senders
 
     def _part(self, view: ServerView) -> float:
         """This gateway's part of the one call a second that the rate rule never goes below or grows by."""
         fair = self._fair(view)
-        return min(1.0, FEW_GATEWAYS / self._settings.instances if fair is None else FAIR_PART * fair)
+        return min(1.0, FEW_GATEWAYS / view.senders if fair is None else FAIR_PART * fair)
 
     def _start_cold(self, view: ServerView, started_ms: float | None, for_ms: float) -> None:
         """Rule 4: from its start until it is surely warm, or did not start, a server has a budget."""
@@ -502,13 +504,11 @@
         Over all gateways neither is more than the rule's multiple of what it can do, however uneven they are.
         """
         rules = self._settings.rules
-        if self._now < view.told_ms + FRESH_MS:
-            safe = COLD_BY_REPORT
-        else:
-            safe = self._share(view) * (COLD_BY_LINES if view.capacity is None else COLD_BY_POOL)
+        guess = self._share(view) * (COLD_BY_LINES if view.capacity is None else COLD_BY_POOL)
+        safe = COLD_BY_REPORT if self._now < view.told_ms + FRESH_MS else guess
         known = safe * rules.tip_multiple * (self._fair(view) or 0.0)
         proven = max(0.0, view.lately(self._now) - SECOND_MS / LOOK_BACK_MS)  # a single answer is chance
-        return max(FLOOR_RATE / self._settings.instances, known, min(COLD_TIMES, rules.tip_multiple) * proven)
+        return max(FLOOR_RATE / view.senders, known, min(COLD_TIMES, rules.tip_multiple) * proven)
 
     def _settle(self, view: ServerView) -> None:
         """Bring a bucket up to now: what leaked, and what its rate grew in quiet seconds.
@@ -756,10 +756,10 @@
         return self._now + (self.spend(call.call, call.attempts, view.server_id, take) if self.spend else 0.0)
 
     def _warm_at(self, view: ServerView) -> float:
-        """When a server may have the next set-up: a cold one gets them evenly spaced."""
-        if view.cold_until_ms <= self._now:
+        """When a server may have the next set-up: a cold one, and (Exception: mass start) any, is spared."""
+        if max(view.cold_until_ms, view.begin_until_ms) <= self._now:
             return self._now
-        view.cold.rate = self._cold_rate(view)
+        view.cold.rate = self._cold_rate(view) if self._now < view.cold_until_ms else view.bucket.rate
         view.cold.leak(self._now, NEVER)
         return view.cold.admits_at(SPLASH)
 
--- a/canvasplank/program.py
+++ b/canvasplank/program.py
@@ -80,7 +80,9 @@
         self._listening = False
         self._admin = Admin(self)
         self.count_fleet: Callable[[], int] = int
+        self.part_of_fleet: Callable[[], float | None] = lambda: None
         self._parts = [made(self) for made in switched]
+        self._callers.able = lambda: all(part.ready() for part in self._parts)
 
     async def run(self) -> None:
         """Serve until told to stop."""
@@ -115,7 +117,7 @@
 
     def ready(self) -> bool:
         """See ``Operated``."""
-        return self._listening and not self.exchange.closing and not self._callers.quiesced
+        return self._listening and self._callers.takes_callers
 
     def figures(self) -> list[str]:
         """See ``Operated``; a request that was answered is in flight until the call it set up is over."""
--- a/canvasplank/starting/part.py
+++ b/canvasplank/starting/part.py
@@ -1,18 +1,23 @@
-"""The pace of a fleet's start as a part of the program, and its file, named by ``CANVASPLANK_STARTING``."""
+"""A fleet's start as a part of the program, and its file, named by ``CANVASPLANK_STARTING``."""
 
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from typing import Annotated
 
 import msgspec
 
+from canvasplank import interface as api
 from canvasplank.parts import Host, Made, Part
-from canvasplank.settings import read_settings
+from canvasplank.settings import Instance, read_settings
 from canvasplank.starting.polls import SECOND_MS, PollPace
+from canvasplank.starting.subset import Subset
 from canvasplank.switch import load_switch
 
 Rate = Annotated[float, msgspec.Meta(gt=0, le=100_000)]
+LOOK_MS = 1000.0  # between two looks at servers that are left to others, and at the fleet's size
+CHANGED = 0.1  # of the number of proxies that share a server: so much is worth telling the module
 
 
 class Starting(msgspec.Struct, forbid_unknown_fields=True):
@@ -21,6 +26,8 @@
     polls_per_s: Rate = 30.0  # while it is in trouble
     first_per_s: Rate = 75.0  # first polls after a start, and when it is known to be back
     connections_per_s: Rate = 60.0  # first connections at each call server
+    begin_per_s: Annotated[float, msgspec.Meta(ge=0, le=100_000)] = 0.0  # set-ups there at first; 0: no bound
+    servers_per_proxy: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 0  # for each class of call; 0: all
 
 
 def load(path: str) -> Made:
@@ -30,13 +37,63 @@
 
 
 class StartingPart(Part):
-    """Has the board asked, and call servers connected to, at the fleet's pace."""
+    """Has the board asked, and call servers come to, at the fleet's pace; see ``network.servers.Opening``."""
 
     def __init__(self, host: Host, settings: Starting) -> None:
-        instances = read_settings(host.configuration.settings).instances
-        rng = random.Random(int(host.configuration.seed, 16))
-        def fleet() -> int:
-            return host.count_fleet() or instances
+        self._host, self._settings = host, settings
+        configured = read_settings(host.configuration.settings)
+        self._instances = configured.instances
+        self._rng = random.Random(int(host.configuration.seed, 16))
+        groups = (None if c.pools is None else frozenset(c.pools) for c in configured.classes)
+        self._subset = Subset(host.configuration.name, groups,
+                              settings.servers_per_proxy, host.exchange.carries)
+        self._told_of = 0  # proxies, when the module last heard how many share a server
+        host.board.pace = PollPace(self._fleet, settings.polls_per_s, settings.first_per_s, self._rng)
+        host.servers.opening = self
 
-        host.board.pace = PollPace(fleet, settings.polls_per_s, settings.first_per_s, rng)
-        host.servers.opening = lambda: rng.uniform(0.0, SECOND_MS * fleet() / settings.connections_per_s)
+    async def start(self) -> None:
+        """See ``Part``."""
+        if self._settings.servers_per_proxy:
+            self._look()
+
+    def ready(self) -> bool:
+        """See ``Part``: guards callers against one that has no list yet and could only turn them away."""
+        return bool(self._host.servers.processes())
+
+    def count(self) -> None:
+        """See ``Part``."""
+        self._host.counters.set("starting.servers_kept", len(self._host.servers.processes()))
+
+    # ------------------------------------------------------------------------------------ for the servers
+
+    def narrowed(self, complete: bool, instances: list[Instance]) -> list[Instance]:
+        """See ``Opening``."""
+        self._told_of = self._fleet()
+        return self._subset.narrowed(complete, instances)
+
+    def entered(self, server: api.Server) -> api.Server:
+        """See ``Opening``; a lease of the fleet's set-ups is divided among the servers that they go to."""
+        senders = self._subset.senders(server.pool, self._told_of)
+        if not (whole_per_s := self._settings.begin_per_s):
+            return replace(server, senders=senders)
+        part = self._host.part_of_fleet()
+        part = 1.0 / (senders or self._told_of) if part is None else min(1.0, part * self._subset.spread())
+        return replace(server, senders=senders, begin_per_s=whole_per_s * part)
+
+    def first_ms(self) -> float:
+        """See ``Opening``."""
+        return self._rng.uniform(0.0, SECOND_MS * self._fleet() / self._settings.connections_per_s)
+
+    def let_go(self, server_id: str) -> bool:
+        """See ``Opening``."""
+        return self._subset.is_listed(server_id)
+
+    # ------------------------------------------------------------------------------------
+
+    def _fleet(self) -> int:
+        return max(1, self._host.count_fleet() or self._instances)
+
+    def _look(self) -> None:
+        if self._subset.may_let_go() or abs(self._fleet() - self._told_of) > CHANGED * self._told_of:
+            self._host.servers.listed(False, [])
+        self._host.turns.after(LOOK_MS, self._look)
--- a/canvasplank/starting/polls.py
+++ b/canvasplank/starting/polls.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 SECOND_MS = 1000.0
+NAMED_MOST_MS = 60_000.0  # a board that names a longer wait is asked after this one all the same
 FIRST_MS, MOST_MS = 50.0, 800.0  # the doubling wait of a fleet so small that its turns are shorter
 
 
@@ -22,6 +23,7 @@
         self._rng = rng
         self._doubling_ms = FIRST_MS
         self._hinted_ms = float("-inf")
+        self._not_before_ms = float("-inf")  # the board itself has said so
 
     def _turn_ms(self) -> float:
         return SECOND_MS * self._fleet() / self._polls_per_s
@@ -30,10 +32,16 @@
         """Before the first poll of all."""
         return self._rng.uniform(0.0, SECOND_MS * self._fleet() / self._first_per_s)
 
-    def again(self) -> float:
-        """After a poll that failed, or a stream that broke."""
+    def again(self, now_ms: float = 0.0, named_ms: float = 0.0) -> float:
+        """After a poll that failed, or a stream that broke; ``named_ms``: the board itself names this wait.
+
+        This proxy's own wait comes on top of the board's: guards it against all coming back in one instant.
+        """
+        named_ms = min(named_ms, NAMED_MOST_MS)
+        self._not_before_ms = now_ms + named_ms
         doubling_ms, self._doubling_ms = self._doubling_ms, min(MOST_MS, 2 * self._doubling_ms)
-        return max(self._rng.uniform(0.0, 2 * self._turn_ms()), doubling_ms * self._rng.uniform(0.5, 1.0))
+        own_ms = max(self._rng.uniform(0.0, 2 * self._turn_ms()), doubling_ms * self._rng.uniform(0.5, 1.0))
+        return named_ms + own_ms
 
     def well(self) -> None:
         """The board has told something: the doubling begins anew."""
@@ -44,7 +52,7 @@
 
         Guards, by once a turn, against those that are cut off from the board asking for ever faster.
         """
-        if now_ms < self._hinted_ms + self._turn_ms():
+        if now_ms < max(self._hinted_ms + self._turn_ms(), self._not_before_ms):
             return None
         self._hinted_ms = now_ms
         return self.first()
--- /dev/null
+++ b/canvasplank/starting/subset.py
@@ -0,0 +1,114 @@
+"""Which call servers one of hundreds of proxies keeps to, and how many share each.
+
+No I/O and no clock.  By rendezvous hashing: every proxy ranks every server by a hash of both names and keeps
+to the first of its ranking, so nobody has to agree on anything, and a server that comes or goes moves only
+those proxies that keep to it.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable, Sequence
+
+import msgspec
+import xxhash
+
+from canvasplank.settings import Instance, Notice, Pool, fold
+
+READY, DRAINING = "ready", "draining"
+SPREAD = 3.0  # roots of the mean: about one server in a thousand is shared by more than that over the mean
+Pools = frozenset[int]
+
+
+def rank(name: str, server_ids: Iterable[str]) -> list[str]:
+    """All servers, those first that this proxy keeps to; a machine's or version's own hash would differ."""
+    return sorted(server_ids, reverse=True,
+                  key=lambda server_id: xxhash.xxh64_intdigest(f"{name}\0{server_id}".encode()))
+
+
+def choose(name: str, ready: Sequence[Instance], groups: Iterable[Pools | None], most: int) -> set[str]:
+    """Of the servers that may take a class of call, by its ``Pools`` (None: any), the first ``most`` each.
+
+    Guards a class that few servers may take against a subset with none of them.
+    """
+    cells = {instance.instance_id: instance.cell for instance in ready}
+    ranked = rank(name, cells)
+    chosen: set[str] = set()
+    for pools in set(groups):
+        chosen.update([each for each in ranked if pools is None or cells[each] in pools][:most])
+    return chosen
+
+
+def shared_by(cell: int, ready: Sequence[Instance], groups: Iterable[Pools | None], most: int,
+              proxies: int) -> int:
+    """How many of so many proxies keep to a server of this cell: no more than this, but for rare chance.
+
+    A proxy that has a server among the first of a larger group has it among those of a smaller one within it,
+    so only the smallest groups add up.
+    """
+    cells = [instance.cell for instance in ready]
+    every = frozenset(cells)
+    holding = {frozenset(every if pools is None else pools & every) for pools in groups}
+    holding = {group for group in holding if cell in group}
+    smallest = [group for group in holding if not any(other < group for other in holding)]
+    chance = sum(min(1.0, most / sum(each in group for each in cells)) for group in smallest)
+    if chance >= 1.0:
+        return proxies
+    mean = proxies * chance
+    return min(proxies, math.ceil(mean + SPREAD * math.sqrt(mean)))
+
+
+class Subset:
+    """One proxy's servers as they come and go."""
+
+    def __init__(self, name: str, groups: Iterable[Pools | None], most: int,
+                 carries: Callable[[str], bool]) -> None:
+        """``most``: servers for each class of call, 0 for all; ``carries``: whether a server has calls."""
+        self._name, self._groups, self._most, self._carries = name, tuple(groups), most, carries
+        self._listed: dict[str, Instance] = {}
+        self._kept: set[str] = set()
+
+    def narrowed(self, complete: bool, instances: list[Instance]) -> list[Instance]:
+        """The whole of what this proxy keeps to after this news of the list, which may be none.
+
+        One that is no longer among them drains: nothing new goes there, and it is kept until no call stands
+        there, so that their releases find somebody.
+        """
+        fold(self._listed, Notice(0, Pool(instances, reset=complete)))
+        wanted = self._wanted()
+        told = []
+        for server_id, instance in self._listed.items():
+            if server_id in wanted or (instance.lifecycle != READY and server_id in self._kept):
+                told.append(instance)
+            elif server_id in self._kept and self._carries(server_id):
+                told.append(msgspec.structs.replace(instance, lifecycle=DRAINING))
+        self._kept = {instance.instance_id for instance in told}
+        return told
+
+    def senders(self, cell: int, proxies: int) -> int | None:
+        """How many of the proxies share a server of this cell; None: all do."""
+        if not self._most:
+            return None
+        return shared_by(cell, self._ready(), self._groups, self._most, proxies)
+
+    def spread(self) -> float:
+        """Over so many times as many servers as this one's the fleet's set-ups go."""
+        ready = len(self._ready())
+        kept = sum(i.lifecycle == READY and i.instance_id in self._kept for i in self._listed.values())
+        return max(1.0, ready / kept) if kept else 1.0
+
+    def may_let_go(self) -> bool:
+        """Whether a server is held still that this proxy no longer keeps to, and no call stands there now."""
+        left = self._kept - self._wanted()
+        return any(self.is_listed(each) and self._listed[each].lifecycle == READY and not self._carries(each)
+                   for each in left)
+
+    def is_listed(self, server_id: str) -> bool:
+        """Whether the list still names it, whoever keeps to it."""
+        return server_id in self._listed
+
+    def _wanted(self) -> set[str]:
+        return choose(self._name, self._ready(), self._groups, self._most or len(self._listed))
+
+    def _ready(self) -> list[Instance]:
+        return [instance for instance in self._listed.values() if instance.lifecycle == READY]
--- a/standins/board.py
+++ b/standins/board.py
@@ -19,6 +19,8 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()  # asyncio made them
         self.in_trouble = False  # accepts, and closes at once
+        self.busy_s: int | None = None  # refuses, and names this wait
+        self.stalled = False  # accepts, and says nothing
         self.polls: list[float] = []  # when each came, in seconds of the loop's clock
 
     async def start(self) -> None:
@@ -61,9 +63,18 @@
             return
         # A handler that is cancelled at the end is no error for asyncio to print.
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            if self.stalled:
+                await reader.read()
+                return
             head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
             last = next((int(line.partition(":")[2]) for line in head.splitlines()
                          if line.startswith("last-event-id:")), 0)
+            if self.busy_s is not None:
+                refusal = f"HTTP/1.1 503 Busy\r\nRetry-After: {self.busy_s}\r\nContent-Length: 0\r\n\r\n"
+                writer.write(refusal.encode())
+                await writer.drain()
+                writer.close()
+                return
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
             while not writer.is_closing():
                 for event in self._events[last:]:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -9,7 +9,7 @@
 import signal
 import socket
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -31,6 +31,7 @@
 class Proxy:
     """One process of the program."""
 
+    name: str
     address: str
     process: asyncio.subprocess.Process
     log: Path
@@ -69,6 +70,7 @@
         self.folder, self.servers, self.instances = folder, servers, instances
         self.board = Board()
         self.in_configuration = True  # whether a proxy's configuration names the servers
+        self.board_for: Callable[[str], str] = lambda _: self.board.address  # where a proxy finds the board
         self.proxies: list[Proxy] = []
 
     async def start(self) -> None:
@@ -93,7 +95,7 @@
             "skilled_pools": [pools, pools], "class_hold_ms": [sum(holds) / len(holds)] * 2}
         settings = example["settings"] | {"instances": self.instances, "family_info": family}
         return example | {"name": name, "listen": address, "seed": f"{seed:016x}",
-                          "board": self.board.address, "settings": settings,
+                          "board": self.board_for(name), "settings": settings,
                           "known": self.board.known() if self.in_configuration else {"rev": 0, "notices": []}}
 
     async def proxy(self, name: str, seed: int, **environment: str) -> Proxy:
@@ -106,7 +108,7 @@
             process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "canvasplank", cwd=ROOT, stdout=out, stderr=out,
                 env=inherited | {"EDGE_CONFIG": str(path)} | environment)
-        proxy = Proxy(address, process, log)
+        proxy = Proxy(name, address, process, log)
         self.proxies.append(proxy)
         await proxy.prints(" listens on ")
         return proxy
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -6,15 +6,19 @@
 import random
 import signal
 import time
+from contextlib import asynccontextmanager
 
 import pytest
 
-from canvasplank.settings import ConfigurationError
+from canvasplank.codecs import isup, sse
+from canvasplank.codecs.errors import BadMessageError
+from canvasplank.settings import ConfigurationError, split_address
 from canvasplank.starting.part import load
-from canvasplank.starting.polls import MOST_MS, PollPace
+from canvasplank.starting.polls import MOST_MS, NAMED_MOST_MS, PollPace
 from checks.spending import most_in
 from standins.callers import Callers
 from standins.fleet import fleet
+from standins.link import Link
 from standins.server import CallServer
 
 FLEET_FILE = """backend = "sqlite"
@@ -71,6 +75,36 @@
         assert pace.hinted(9_000.0) is None and pace.hinted(10_001.0) is not None
 
 
+    def test_a_wait_that_the_board_names_is_kept_and_nobody_comes_back_in_step(self):
+        waits = sorted(pace.again(0.0, named_ms=4000.0) for pace in paces(300))
+        assert waits[0] >= 4000.0 and most_in(waits, 100.0) <= 24
+        assert paces(300)[0].again(0.0, named_ms=1e9) <= NAMED_MOST_MS + 20_000.0, "within bounds"
+
+    def test_a_hint_does_not_hurry_past_a_wait_that_the_board_names(self):
+        [pace] = paces(1)
+        pace.again(1000.0, named_ms=4000.0)
+        assert pace.hinted(4999.0) is None and pace.hinted(5000.0) is not None
+
+
+@pytest.mark.parametrize(("headers", "wait_ms"), [
+    ("Retry-After: 3", 3000.0),
+    ("retry-after:  7 ", 7000.0),
+    ("Retry-After: Tue, 01 Dec 2026 10:00:05 GMT\r\nDate: Tue, 01 Dec 2026 10:00:01 GMT", 4000.0),
+    ("Retry-After: Tue, 01 Dec 2026 10:00:00 GMT\r\nDate: Tue, 01 Dec 2026 10:00:01 GMT", 0.0),  # over
+    ("Retry-After: Tue, 01 Dec 2026 10:00:05 GMT", 0.0),  # against what
+    ("Retry-After: Tue, 01 Dec 2026 10:00:05\r\nDate: Tue, 01 Dec 2026 10:00:01 GMT", 0.0),  # of no zone
+    ("Retry-After: soon", 0.0),
+    ("Retry-After: -4", 0.0),
+    ("Retry-After: \u0664", 0.0),
+    ("Server: board", 0.0),
+])
+def test_the_wait_that_a_refusal_names(headers, wait_ms):
+    parser = sse.Parser()
+    with pytest.raises(BadMessageError, match="not a success"):
+        list(parser.feed(f"HTTP/1.1 503 Busy\r\n{headers}\r\n\r\n".encode("latin-1", "replace")))
+    assert parser.named_wait_ms == wait_ms
+
+
 def test_first_connections_come_in_turn_and_at_once_where_a_call_wants_one(tmp_path):
     """Twelve processes that know the servers from the start: today each has a connection from all at once."""
     count, per_s = 12, 4.0
@@ -102,46 +136,129 @@
         load(str(tmp_path / "starting.toml"))
 
 
+class Rush:
+    """Processes that start at once and know nothing, and the polls at their board."""
+
+    def __init__(self, folder, started, environment) -> None:
+        self.folder, self.started, self.environment = folder, started, environment
+        self.board = started.board
+        started.in_configuration = False  # the board alone names the servers
+
+    async def start(self, names) -> None:
+        await asyncio.gather(*(self.started.proxy(name, seed, **self.environment)
+                               for seed, name in enumerate(names)))
+
+    def alive(self) -> int:
+        return sum(proxy.process.returncode is None for proxy in self.started.proxies)
+
+    def polls_since(self, at: float) -> list[float]:
+        return [poll for poll in self.board.polls if poll > at]
+
+    async def heard_by(self, count: int) -> float:
+        """How long until so many are connected to the server, which the board alone names."""
+        began = now_s()
+        async with asyncio.timeout(WAIT_S):
+            while self.started.servers[0].connections < count:
+                await asyncio.sleep(0.05)
+        return now_s() - began
+
+
+def now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+@asynccontextmanager
+async def rush(folder, count, polls_per_s, over_the_store=False):
+    """So many processes to start, all with the fleet's pace."""
+    (folder / "starting.toml").write_text(f"polls_per_s = {polls_per_s}\nfirst_per_s = 24.0\n")
+    environment = {"CANVASPLANK_STARTING": str(folder / "starting.toml")}
+    if over_the_store:
+        (folder / "fleet.toml").write_text(FLEET_FILE.format(path=folder / "fleet.db"))
+        environment["CANVASPLANK_FLEET"] = str(folder / "fleet.toml")
+    async with fleet(folder, [CallServer("s-0", capacity_per_s=1000.0)], instances=count) as started:
+        yield Rush(folder, started, environment)
+
+
 @pytest.mark.parametrize("over_the_store", [False, True], ids=["alone", "with the fleet's rows"])
 def test_twenty_four_processes_spare_a_board_in_trouble_and_hear_it_when_it_is_back(tmp_path, over_the_store):
-    """Half of them cannot reach it for a while longer; a quarter crash over and over."""
+    """A quarter of them crash over and over meanwhile."""
     count, polls_per_s = 24, 8.0
-    starting = tmp_path / "starting.toml"
-    starting.write_text(f"polls_per_s = {polls_per_s}\nfirst_per_s = 24.0\n")
-    environment = {"CANVASPLANK_STARTING": str(starting)}
-    if over_the_store:
-        (tmp_path / "fleet.toml").write_text(FLEET_FILE.format(path=tmp_path / "fleet.db"))
-        environment["CANVASPLANK_FLEET"] = str(tmp_path / "fleet.toml")
 
     async def run():
-        server = CallServer("s-0", capacity_per_s=1000.0)
-        async with fleet(tmp_path, [server], instances=count) as started:
-            started.in_configuration = False  # the board alone names the servers
-            board = started.board
-            board.in_trouble = True
-            await asyncio.gather(*(started.proxy(f"n{n}", n, **environment) for n in range(count)))
+        async with rush(tmp_path, count, polls_per_s, over_the_store) as fresh:
+            fresh.board.in_trouble = True
+            await fresh.start([f"n{n}" for n in range(count)])
             for turn in range(3):  # a crash loop adds nothing but its first polls
-                crashing = [p for p in started.proxies if p.process.returncode is None][:6]
+                crashing = [p for p in fresh.started.proxies if p.process.returncode is None][:6]
                 await asyncio.gather(*(p.stop(signal.SIGKILL) for p in crashing))
-                await asyncio.gather(*(started.proxy(f"c{turn}{n}", 100 * turn + n, **environment)
-                                       for n in range(6)))
-            began = asyncio.get_running_loop().time()
+                await fresh.start([f"c{turn}{n}" for n in range(6)])
+            began = now_s()
             await asyncio.sleep(5.0)
-            lasting = [at for at in board.polls if at > began]
             # 24 alive at 8 a second; by the doubling waits alone there would be 30 a second.
-            assert len(lasting) / 5.0 <= 1.75 * polls_per_s, len(lasting)
-            assert most_in(sorted(board.polls), 0.1) <= 12
-            board.in_trouble = False
-            back = asyncio.get_running_loop().time()
-            alive = [p for p in started.proxies if p.process.returncode is None]
-            async with asyncio.timeout(WAIT_S):
-                while server.connections < len(alive):
-                    await asyncio.sleep(0.05)
-            heard_s = asyncio.get_running_loop().time() - back
-            assert most_in([at for at in board.polls if at > back], 0.1) <= 12, "no second wave"
+            assert len(fresh.polls_since(began)) / 5.0 <= 1.75 * polls_per_s
+            assert most_in(sorted(fresh.board.polls), 0.1) <= 12
+            fresh.board.in_trouble = False
+            back = now_s()
+            heard_s = await fresh.heard_by(count)
+            assert most_in(fresh.polls_since(back), 0.1) <= 12, "no second wave"
             assert heard_s <= (5.0 if over_the_store else 2 * count / polls_per_s + 2.0)
-            settled = len(board.polls)
+            settled = len(fresh.board.polls)
             await asyncio.sleep(2.0)
-            assert len(board.polls) <= settled + 1, "who hears it asks no more"
+            assert len(fresh.board.polls) <= settled + 1, "who hears it asks no more"
+
+    asyncio.run(run())
+
+
+def test_half_of_the_processes_are_cut_off_from_the_board_and_the_others_are_served_by_it(tmp_path):
+    """Those beyond the cut are not ready, go on asking at the fleet's rate, and hear it once it is healed."""
+    count, polls_per_s = 24, 8.0
+
+    async def run():
+        async with rush(tmp_path, count, polls_per_s) as fresh:
+            far = Link(fresh.board.address)
+            await far.start()
+            fresh.started.board_for = lambda name: far.address if name[0] == "f" else fresh.board.address
+            far.cut()
+            await fresh.start([f"{'nf'[n % 2]}{n}" for n in range(count)])
+            await fresh.heard_by(count // 2)
+            began, asked = now_s(), far.connections
+            await asyncio.sleep(4.0)
+            assert len(fresh.polls_since(began)) <= 2, "who hears it asks no more"
+            assert (far.connections - asked) / 4.0 <= 1.75 * polls_per_s
+            assert {proxy.name: await passes_test(proxy) for proxy in fresh.started.proxies[:8]} == {
+                proxy.name: proxy.name[0] == "n" for proxy in fresh.started.proxies[:8]}
+            far.heal()
+            assert await fresh.heard_by(count) <= 2 * count / polls_per_s + 2.0
+            await far.stop()
 
     asyncio.run(run())
+
+
+def test_a_board_that_stalls_and_then_names_a_wait_is_left_alone_for_it(tmp_path):
+    count, polls_per_s = 12, 8.0
+
+    async def run():
+        async with rush(tmp_path, count, polls_per_s) as fresh:
+            fresh.board.stalled = True
+            await fresh.start([f"n{n}" for n in range(count)])
+            began = now_s()
+            await asyncio.sleep(4.0)
+            assert len(fresh.polls_since(began)) / 4.0 <= 1.75 * polls_per_s
+            fresh.board.stalled, fresh.board.busy_s = False, 60
+            await asyncio.sleep(2 * count / polls_per_s + 2.0)  # all have been told by now, or hang no more
+            began = now_s()
+            await asyncio.sleep(2.0)
+            assert not fresh.polls_since(began)
+
+    asyncio.run(run())
+
+
+async def passes_test(proxy) -> bool:
+    """Whether it says that callers may be sent to it."""
+    reader, writer = await asyncio.open_connection(*split_address(proxy.address))
+    writer.write(isup.encode(isup.Message(isup.Kind.TEST, "0" * 15 + "1", {isup.Parameter.CAUSE: b"\0"})))
+    parser = isup.Parser()
+    async with asyncio.timeout(WAIT_S):
+        messages = list(parser.feed(await reader.read(1024)))
+    writer.close()
+    return messages[0].cause == 1
--- a/tests/test_learning_asking.py
+++ b/tests/test_learning_asking.py
@@ -10,7 +10,7 @@
 import pytest
 
 from canvasplank.learning import view
-from canvasplank.learning.asking import ask, framed
+from canvasplank.learning.asking import ask, ask_in_turn, framed
 from canvasplank.learning.view import Learned, PeerView
 
 GOOD = PeerView(view.VERSION, "n1", 1.8e12, [Learned("s-1", None, 1.8e12, rate_per_s=12.0, slow=True)])
@@ -96,3 +96,24 @@
     taken, counts = asyncio.run(run())
     assert taken == GOOD
     assert counts == {"asked": 2, "given": 1, "refused": 1}
+
+
+def test_peers_are_asked_one_after_another_within_the_one_bound():
+    """The first refuses, the second hangs for its part of the time, the third answers."""
+
+    async def run() -> tuple[PeerView | None, float]:
+        hangs, answers = await stand_in(None), await stand_in(framed(view.encode(GOOD)))
+        async with hangs, answers:
+            addresses = [refused_address(), *(f"127.0.0.1:{each.sockets[0].getsockname()[1]}"
+                                              for each in (hangs, answers))]
+            began = time.monotonic()
+            return await ask_in_turn(addresses, BOUND_S), time.monotonic() - began
+
+    taken, took_s = asyncio.run(run())
+    assert taken == GOOD and took_s < BOUND_S + 1.0
+
+
+def test_no_more_than_three_peers_are_asked(caplog):
+    with caplog.at_level(logging.WARNING):
+        assert asyncio.run(ask_in_turn([refused_address() for _ in range(5)], BOUND_S)) is None
+    assert len(caplog.records) == 3
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -90,8 +90,8 @@
     "store.__main__", "network.loop", "network.stream", "network.connecting", "network.callers",
     "network.servers", "network.board", "admin", "parts", "membership.part", "store.part", "learning.part",
     "fleet.schema", "fleet.backend", "fleet.sqlite", "fleet.postgresql", "fleet.config", "fleet.ownership",
-    "fleet.agent", "fleet.part", "starting.polls", "starting.part", "work.config", "work.usage",
-    "work.files", "work.worker", "program", "cli", "__main__",
+    "fleet.agent", "fleet.part", "starting.polls", "starting.subset", "starting.part", "work.config",
+    "work.usage", "work.files", "work.worker", "program", "cli", "__main__",
 ]
 
 
--- /dev/null
+++ b/tests/test_subset.py
@@ -0,0 +1,191 @@
+"""Which servers each of hundreds of proxies keeps to: by itself, in the module, and on processes."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import time
+from collections import Counter
+
+import pytest
+from conftest import Gateway, settings
+
+from canvasplank import interface as api
+from canvasplank.settings import Instance
+from canvasplank.starting.subset import Subset, choose, rank, shared_by
+from standins.callers import Callers
+from standins.fleet import fleet
+from standins.server import CallServer
+
+WAIT_S = 30.0
+ALL = (None,)
+
+
+def instances(count: int, cells: int = 1, lifecycle: str = "ready") -> list[Instance]:
+    return [Instance(f"s-{n}", f"10.0.0.{n}:5060", lifecycle, n % cells) for n in range(count)]
+
+
+def names(count: int) -> list[str]:
+    return [f"proxy-{n}" for n in range(count)]
+
+
+def kept(told: list[Instance]) -> dict[str, str]:
+    return {instance.instance_id: instance.lifecycle for instance in told}
+
+
+class TestChoice:
+    """The ranking and what follows from it."""
+
+    def test_the_ranking_is_the_same_on_every_machine(self):
+        assert rank("proxy-0", ["s-0", "s-1", "s-2", "s-3"]) == ["s-2", "s-0", "s-3", "s-1"]
+
+    @pytest.mark.parametrize(("proxies", "servers", "most"), [(300, 24, 8), (500, 12, 4), (5000, 200, 16)])
+    def test_each_server_is_shared_by_about_as_many_and_by_no_more_than_is_told(self, proxies, servers, most):
+        listed = instances(servers)
+        shared = Counter(s for name in names(proxies) for s in choose(name, listed, ALL, most))
+        told = shared_by(0, listed, ALL, most, proxies)
+        mean = proxies * most / servers
+        assert len(shared) == servers and sum(shared.values()) == proxies * most
+        assert min(shared.values()) > mean - 4 * math.sqrt(mean)
+        assert max(shared.values()) <= 1.05 * told and told < 1.5 * mean
+        assert sum(each > told for each in shared.values()) <= servers / 100
+
+    def test_a_server_that_goes_moves_only_those_who_kept_to_it(self):
+        listed = instances(24)
+        for name in names(300):
+            before, after = choose(name, listed, ALL, 6), choose(name, listed[1:], ALL, 6)
+            assert len(after - before) == ("s-0" in before) and before - after <= {"s-0"}
+
+    def test_a_class_that_few_may_take_has_its_own(self):
+        listed = instances(24, cells=12)
+        groups = (None, frozenset({3, 7}))
+        for name in names(50):
+            mine = [int(s[2:]) % 12 for s in choose(name, listed, groups, 3)]
+            assert sum(cell in (3, 7) for cell in mine) >= 3
+
+    @pytest.mark.parametrize(("groups", "cell", "told"), [
+        ((None,), 0, 3 * 100 // 12 + 15),  # three of twelve
+        ((None, frozenset({0, 1})), 0, 3 * 100 // 4 + 25),  # three of its four: that group's proxies hold it
+        ((frozenset({0, 1, 2}), frozenset({0, 3, 4})), 0, 100),  # either: three of six and three of six
+        ((frozenset({0}),), 0, 100),  # all two of its cell are held by all
+    ])
+    def test_how_many_share_a_server_follows_the_groups_it_is_in(self, groups, cell, told):
+        listed = instances(12, cells=6)
+        found = shared_by(cell, listed, groups, 3, 100)
+        held = sum(any(s in choose(n, listed, groups, 3) for s in ("s-0",)) for n in names(100))
+        assert held <= found <= told
+
+
+class TestComingAndGoing:
+    """A proxy's subset as the list changes."""
+
+    def subset(self, carrying: set[str], most: int = 2) -> Subset:
+        return Subset("proxy-0", ALL, most, carrying.__contains__)
+
+    def test_without_a_figure_all_are_kept(self):
+        assert len(self.subset(set(), most=0).narrowed(True, instances(9))) == 9
+
+    def test_one_that_a_better_takes_the_place_of_drains_until_it_carries_nothing(self):
+        first, second, third = rank("proxy-0", ["s-0", "s-1", "s-2"])
+        by_id = {instance.instance_id: instance for instance in instances(3)}
+        carrying = {third}
+        subset = self.subset(carrying)
+        assert kept(subset.narrowed(True, [by_id[second], by_id[third]])) == {second: "ready", third: "ready"}
+        assert kept(subset.narrowed(False, [by_id[first]])) == {
+            first: "ready", second: "ready", third: "draining"}
+        assert not subset.may_let_go()
+        carrying.clear()
+        assert subset.may_let_go()
+        assert kept(subset.narrowed(False, [])) == {first: "ready", second: "ready"}
+        assert subset.is_listed(third) and not subset.may_let_go()
+
+    def test_one_that_drains_is_kept_where_it_was_held_and_another_takes_its_place(self):
+        listed = instances(6)
+        subset = self.subset(set())
+        mine = kept(subset.narrowed(True, listed))
+        leaves = min(mine)
+        now = kept(subset.narrowed(False, [
+            Instance(leaves, "10.0.0.9:5060", "draining"),
+            Instance(next(i.instance_id for i in listed if i.instance_id not in mine), "x:1", "draining")]))
+        assert now[leaves] == "draining" and sorted(now.values()) == ["draining", "ready", "ready"]
+        assert leaves not in kept(subset.narrowed(False, [Instance(leaves, "x:1", "gone")]))
+        assert not subset.is_listed(leaves)
+
+
+class TestModule:
+    """What the module makes of it."""
+
+    def test_the_even_share_is_one_of_those_who_share_the_server(self):
+        """With three of twelve proxies at a server, a twelfth of it each would leave most of it idle."""
+        def sent(senders: int | None) -> int:
+            gateway = Gateway(settings(instances=12, classes=(
+                api.CallClass("low", 1600, 9000, 1, 0.1, hold_ms=1000.0),)))
+            gateway.servers(api.Server("a", 0, api.ServerState.READY, 0.0, senders))
+            gateway.tell(api.LinesTold("a", 60.0, 60.0))
+            gateway.alive["a"] = 40
+            for _ in range(100):
+                gateway.call()
+                gateway.until(gateway.now + 20)
+            return sum(isinstance(action, api.SetUp) for _, action in gateway.done)
+
+        assert sent(3) > 1.5 * sent(None)
+
+    @pytest.mark.parametrize("class_name", ["low", "high"])
+    @pytest.mark.parametrize("begin_per_s", [None, 30.0 / 300])
+    def test_hundreds_of_fresh_buckets_do_not_run_ahead_of_the_rate_of_all(self, begin_per_s, class_name):
+        """300 gateways, three calls waiting at each when they start, one server."""
+        sent = []
+        for seed in range(300):
+            gateway = Gateway(settings(instances=300), seed)
+            gateway.servers(api.Server("a", 0, api.ServerState.READY, None, None, begin_per_s))
+            gateway.alive["a"] = 40
+            for _ in range(3):
+                gateway.call(gives_up_ms=9000, class_name=class_name)
+            gateway.until(8000)
+            sent += [at for at, action in gateway.done if isinstance(action, api.SetUp)]
+        first = sum(at < 1000 for at in sent)
+        if begin_per_s is None:
+            assert first > 300, "what this guards against"
+        else:
+            assert 15 <= first <= 45, "about thirty"
+            assert sum(at >= 7000 for at in sent) > 1.5 * first, "it grows"
+
+
+def test_twenty_four_processes_keep_to_four_of_twelve_servers_each(tmp_path):
+    """Connections, service, a server that drains, and the release of a call at one that others now have."""
+    count, most = 24, 4
+    (tmp_path / "starting.toml").write_text(
+        f"servers_per_proxy = {most}\nconnections_per_s = 200.0\nbegin_per_s = 50.0\n")
+
+    async def run():
+        servers = [CallServer(f"s-{n}", capacity_per_s=200.0, hold_ms=2500.0) for n in range(12)]
+        async with fleet(tmp_path, servers, instances=count) as started:
+            started.in_configuration = False
+            await started.list(*servers[:-2])
+            await asyncio.gather(*(started.proxy(f"n{n}", n, CANVASPLANK_STARTING=str(
+                tmp_path / "starting.toml")) for n in range(count)))
+            callers = Callers(seed=1, pools=12)
+            await asyncio.gather(*(callers.add_proxy(proxy.address) for proxy in started.proxies))
+
+            async def held(listed):
+                wanted = Counter(s for n in range(count) for s in choose(f"n{n}", listed, ALL, most))
+                async with asyncio.timeout(WAIT_S):
+                    while any(server.connections != wanted[server.name] for server in servers):
+                        await asyncio.sleep(0.05)
+
+            await held(instances(10))
+            made = [callers.place(time.time()) for _ in range(120)]
+            await callers.settled(WAIT_S)
+            assert sum(t.outcome == "served" for t in made) >= 0.95 * len(made)
+            standing = [t for t in made if t.outcome == "served"]
+            # Two more come, and take their places with some, while the calls stand at those they had.
+            await started.list(*servers)
+            async with asyncio.timeout(WAIT_S):
+                while any(t.released_s is None for t in standing):
+                    await asyncio.sleep(0.05)
+            assert all(t.released_s - t.answered_s < 2.5 + 1.0 for t in standing), "each by its own server"
+            await held(instances(12))
+            assert all(server.connections < count for server in servers)
+            await callers.stop()
+
+    asyncio.run(run())
