An experiment tool: fleets on real processes with faults between them, or simulated

Need: what hundreds of proxies do together is not seen in a test of one, and the cold start's benchmark measured polls alone. python -m experiments plays a file (sizes, seeds, load, faults with their times, variants of the settings) on real processes beside stand-ins, or with the same decision modules on a heap of events to 5,000 proxies; it keeps every figure and series as Parquet and CSV, latency by HdrHistogram from when a call was due, and draws charts. It notes how late the rig's own loop was, since hundreds of processes on one machine need care. Rows in SQLite took 300 proxies 14.5 s: not the disk (0.45 ms a synced commit here), but 2.6 ms a transaction over 300 rows, and eager requests of all at once, 2,000 a second. Eager pauses now grow with the fleet.

--- a/canvasplank/fleet/agent.py
+++ b/canvasplank/fleet/agent.py
@@ -126,8 +126,8 @@
             self.others_hear()
         self._tell(known, request, answer)
         if answer.incarnation is None:  # the next request joins anew, at once unless there are too many
-            return self._pace.after_answer(eager=known is not None)
-        return self._pace.after_answer(eager=self.holder.owes(answer) or self.holder.short())
+            return self._pace.after_answer(len(self.watch), eager=known is not None)
+        return self._pace.after_answer(len(self.watch), eager=self.holder.owes(answer) or self.holder.short())
 
     async def _carry(self, request: Request, within_s: float) -> Answer | None:
         try:
--- a/canvasplank/fleet/pace.py
+++ b/canvasplank/fleet/pace.py
@@ -24,13 +24,19 @@
         self._failures = 0
         self._eager = 0
 
-    def after_answer(self, *, eager: bool) -> float:
-        """The pause after an answer; ``eager``: somebody waits for what the next request brings."""
+    def after_answer(self, fleet: int, *, eager: bool) -> float:
+        """The pause after an answer; ``eager``: somebody waits for what the next request brings.
+
+        Guards the store where hundreds join at once: all of them wait for shares that others let go of, and
+        by eager requests alone asked for more transactions than it can do.
+        """
         self._failures = 0
         self._eager = self._eager + 1 if eager else 0
+        steady_ms = self._renew_ms * self._rng.uniform(*STEADY_SPREAD)
         if 0 < self._eager <= EAGER_MOST:
-            return self._renew_ms * EAGER_PART * self._rng.uniform(0.5, 1.0)
-        return self._renew_ms * self._rng.uniform(*STEADY_SPREAD)
+            eager_ms = max(self._renew_ms * EAGER_PART, EACH_MS * fleet)
+            return min(steady_ms, eager_ms * self._rng.uniform(0.5, 1.0))
+        return steady_ms
 
     def after_failure(self, fleet: int) -> float:
         """The pause after a failure, in a fleet of so many as far as is known."""
--- a/canvasplank/starting/polls.py
+++ b/canvasplank/starting/polls.py
@@ -1,7 +1,8 @@
 """When a proxy asks the notice board: a rate for the whole fleet, however many there are.
 
-No I/O and no clock.  Each wait is drawn evenly from nothing to twice this proxy's turn, so that all together
-ask at the rate that the board is to bear, and no two are in step for long.
+No I/O and no clock.  The first wait after something that may have met all of them at once is drawn evenly
+over this proxy's turn; further ones are about a turn each, so that all together go on asking at the rate that
+the board is to bear, each in its place, and none waits for much longer than its turn.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 
 SECOND_MS = 1000.0
 NAMED_MOST_MS = 60_000.0  # a board that names a longer wait is asked after this one all the same
+AGAIN = (0.75, 1.25)  # of a turn, between two polls that failed
 FIRST_MS, MOST_MS = 50.0, 800.0  # the doubling wait of a fleet so small that its turns are shorter
 
 
@@ -22,6 +24,7 @@
         self._fleet, self._polls_per_s, self._first_per_s = fleet, polls_per_s, first_per_s
         self._rng = rng
         self._doubling_ms = FIRST_MS
+        self._in_place = False  # the next poll is not the first after a break
         self._hinted_ms = float("-inf")
         self._not_before_ms = float("-inf")  # the board itself has said so
 
@@ -29,7 +32,8 @@
         return SECOND_MS * self._fleet() / self._polls_per_s
 
     def first(self) -> float:
-        """Before the first poll of all."""
+        """Before the first poll of all, or the first at a board that has moved."""
+        self._in_place = False
         return self._rng.uniform(0.0, SECOND_MS * self._fleet() / self._first_per_s)
 
     def again(self, now_ms: float = 0.0, named_ms: float = 0.0) -> float:
@@ -39,13 +43,16 @@
         """
         named_ms = min(named_ms, NAMED_MOST_MS)
         self._not_before_ms = now_ms + named_ms
+        spread = AGAIN if self._in_place and not named_ms else (0.0, 1.0)
+        self._in_place = not named_ms
         doubling_ms, self._doubling_ms = self._doubling_ms, min(MOST_MS, 2 * self._doubling_ms)
-        own_ms = max(self._rng.uniform(0.0, 2 * self._turn_ms()), doubling_ms * self._rng.uniform(0.5, 1.0))
+        own_ms = max(self._turn_ms() * self._rng.uniform(*spread), doubling_ms * self._rng.uniform(0.5, 1.0))
         return named_ms + own_ms
 
     def well(self) -> None:
         """The board has told something: the doubling begins anew."""
         self._doubling_ms = FIRST_MS
+        self._in_place = False
 
     def hinted(self, now_ms: float) -> float | None:
         """Somebody else hears the board and this proxy does not: when to ask, or None: it did so lately.
--- /dev/null
+++ b/experiments/stage.py
@@ -0,0 +1,225 @@
+"""Plays one variant of an experiment on real processes of the program, beside stand-ins in this process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import tempfile
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+import tomli_w
+
+from experiments.measures import Call, Cold, Observed
+from experiments.plan import Experiment, Fault, Variant
+from standins.callers import Callers
+from standins.fleet import Fleet, Proxy, fleet
+from standins.front import until_passed
+from standins.link import Link
+from standins.server import CallServer
+from standins.tasks import Tasks
+
+RULES = ("cold_share", "warm_within_ms", "tip_multiple", "overload_for_ms")  # a cold server's
+MS = 1000.0
+LATE_LOOK_S = 0.01
+LAST_ANSWERS_S = 4.0
+KIB_A_MB = 1024.0
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+class Stage:
+    """One play."""
+
+    def __init__(self, experiment: Experiment, variant: Variant, size: int, seed: int,
+                 started: Fleet) -> None:
+        self.experiment, self.variant, self.size = experiment, variant, size
+        self.fleet, self.board, self.servers = started, started.board, started.servers
+        self.random = random.Random(seed)
+        self.callers = Callers(seed, pools=len(started.servers))
+        self.proxies: dict[str, Proxy] = {}
+        self.far = Link(self.board.address)  # to the board, for those that are cut off from it
+        self.seen = Observed(size, experiment.servers.capacity_per_s)
+        self._tasks = Tasks()
+        self._began_s = asyncio.get_running_loop().time()
+        self._environment = self._parts()
+        self._beyond = self._drawn([f"n{n}" for n in range(size)], next(
+            (fault.part for fault in experiment.fault if fault.what == "proxies-cut-off"), 0.0))
+        started.board_for = lambda name: self.far.address if name in self._beyond else self.board.address
+
+    def now_s(self) -> float:
+        """Since the start."""
+        return asyncio.get_running_loop().time() - self._began_s
+
+    def _parts(self) -> dict[str, str]:
+        """The files of the parts that this variant switches on."""
+        environment = {}
+        for part in ("starting", "fleet"):
+            settings: Mapping[str, Any] | None = getattr(self.variant, part)
+            if settings is not None:
+                if settings.get("backend") == "sqlite":
+                    settings = {**settings, "path": str(self.fleet.folder / "fleet.db")}
+                path = self.fleet.folder / f"{part}.toml"
+                path.write_text(tomli_w.dumps(dict(settings)))
+                environment[f"CANVASPLANK_{part.upper()}"] = str(path)
+        return environment
+
+    def _drawn(self, names: list[str], part: float) -> set[str]:
+        return set(self.random.sample(names, round(part * len(names))))
+
+    async def play(self) -> Observed:
+        """Everything; gives what was seen."""
+        await self.far.start()
+        self._tasks.keep(self._watch_the_rig())
+        for fault in self.experiment.fault:
+            self._tasks.keep(self._inflict(fault))
+        await asyncio.sleep(0)  # what begins at nought is there before the first process
+        load = self._tasks.keep(self.callers.offer(self.experiment.calls_per_s, self.experiment.for_s))
+        for number in range(self.size):
+            self._tasks.keep(self._start(f"n{number}", number))
+        await asyncio.sleep(max(0.0, self.experiment.for_s - self.now_s()))
+        await load
+        await self.callers.settled(LAST_ANSWERS_S)
+        self._note()
+        await self._tasks.end()
+        await self.callers.stop()
+        await self.far.stop()
+        return self.seen
+
+    async def _start(self, name: str, seed: int) -> None:
+        proxy = await self.fleet.proxy(name, seed, **self._environment)
+        self.proxies[name] = proxy
+        self.seen.up.append(self.now_s())
+        await until_passed(proxy.address)
+        await self.callers.add_proxy(proxy.address)
+
+    async def _watch_the_rig(self) -> None:
+        while True:
+            asked = time.monotonic()
+            await asyncio.sleep(LATE_LOOK_S)
+            self.seen.late_ms.append((time.monotonic() - asked - LATE_LOOK_S) * MS)
+
+    # ------------------------------------------------------------------------------------ faults
+
+    async def _inflict(self, fault: Fault) -> None:
+        await asyncio.sleep(max(0.0, fault.at_s - self.now_s()))
+        begin, end = self._ways(fault)
+        await begin()
+        await asyncio.sleep(max(0.0, fault.ends_s - self.now_s()))
+        await end()
+
+    def _ways(self, fault: Fault) -> tuple[Callable[[], Awaitable], Callable[[], Awaitable]]:
+        """How a fault begins and how it ends."""
+        board = self.board
+        match fault.what:
+            case "board-closes":
+                return _set(board, in_trouble=True), _set(board, in_trouble=False)
+            case "board-stalls":
+                return _set(board, stalled=True), _set(board, stalled=False)
+            case "board-busy":
+                return _set(board, busy_s=fault.wait_s), _set(board, busy_s=None)
+            case "board-away":
+                return board.stop, board.start
+            case "proxies-cut-off":
+                return _call(self.far.cut), _call(self.far.heal)
+            case "proxies-frozen":
+                drawn = self._drawn([f"n{n}" for n in range(self.size)], fault.part)
+                return _call(self._each, drawn, Proxy.freeze), _call(self._each, drawn, Proxy.wake)
+            case "proxies-killed":
+                drawn = self._drawn([f"n{n}" for n in range(self.size)], fault.part)
+                return (lambda: self._kill(drawn)), (lambda: self._revive(drawn))
+            case "servers-silent":
+                drawn = self._drawn([server.name for server in self.servers], fault.part)
+                return _call(self._silence, drawn, True), _call(self._silence, drawn, False)
+        drawn = self._drawn([server.name for server in self.servers], fault.part)
+        return (lambda: self._cool(drawn)), _call(list)
+
+    def _each(self, names: set[str], what: Callable[[Proxy], None]) -> None:
+        for name in names & set(self.proxies):
+            with contextlib.suppress(ProcessLookupError):
+                what(self.proxies[name])
+
+    async def _kill(self, names: set[str]) -> None:
+        for proxy in [self.proxies.pop(name) for name in names & set(self.proxies)]:
+            if proxy.address in self.callers.proxies:
+                self.callers.drop_proxy(proxy.address)
+            await proxy.stop(signal.SIGKILL)
+
+    async def _revive(self, names: set[str]) -> None:
+        for name in sorted(names - set(self.proxies)):
+            self._tasks.keep(self._start(name, int(name[1:])))
+
+    def _silence(self, names: set[str], silent: bool) -> None:
+        for server in self.servers:
+            if server.name in names:
+                server.silent = silent
+
+    async def _cool(self, names: set[str]) -> None:
+        rules = self.fleet.settings["rules"]
+        share, warm_ms, multiple, span_ms = (rules[name] for name in RULES)
+        for server in self.servers:
+            if server.name in names:
+                self.seen.cold[server.name] = Cold(self.now_s(), share, warm_ms / MS, multiple, span_ms / MS)
+                self._tasks.keep(server.begin_cold(share, warm_ms / MS))
+        await asyncio.sleep(0)  # each says since when
+        await self.fleet.list(*self.servers)
+
+    # ------------------------------------------------------------------------------------ what was seen
+
+    def _since(self, times: list[float]) -> list[float]:
+        return [at - self._began_s for at in times]
+
+    def _note(self) -> None:
+        seen, began_unix_s = self.seen, time.time() - self.now_s()
+        seen.polls, seen.told = self._since(self.board.polls), self._since(self.board.first_told)
+        for server in self.servers:
+            seen.connections[server.name] = self._since(server.accepted)
+            seen.open_at_end[server.name] = server.connections
+            seen.set_ups[server.name] = self._since(server.came)
+        seen.calls = [Call(t.due_s - began_unix_s, t.outcome, t.took_s) for t in self.callers.tries.values()]
+        for proxy in self.proxies.values():
+            with contextlib.suppress(OSError):
+                seen.memory_mb.append(_resident_mb(proxy.process.pid))
+                seen.cpu_s.append(_processor_s(proxy.process.pid))
+
+
+def _set(thing: object, **values: object) -> Callable[[], Awaitable]:
+    async def change() -> None:
+        for name, value in values.items():
+            setattr(thing, name, value)
+
+    return change
+
+
+def _call(what: Callable, *arguments: object) -> Callable[[], Awaitable]:
+    async def run() -> None:
+        what(*arguments)
+
+    return run
+
+
+def _resident_mb(pid: int) -> float:
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / KIB_A_MB
+    return 0.0
+
+
+def _processor_s(pid: int) -> float:
+    user, system = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[11:13]
+    return (int(user) + int(system)) / TICKS_PER_S
+
+
+async def play(experiment: Experiment, variant: Variant, size: int, seed: int) -> Observed:
+    """One variant at one size."""
+    plan = experiment.servers
+    servers = [CallServer(f"s-{n}", plan.capacity_per_s, plan.hold_ms, lines=plan.lines)
+               for n in range(plan.count)]
+    with tempfile.TemporaryDirectory() as folder:
+        async with fleet(Path(folder), servers, instances=size) as started:
+            started.in_configuration = False  # none knows anything
+            return await Stage(experiment, variant, size, seed, started).play()
--- a/standins/board.py
+++ b/standins/board.py
@@ -22,6 +22,7 @@
         self.busy_s: int | None = None  # refuses, and names this wait
         self.stalled = False  # accepts, and says nothing
         self.polls: list[float] = []  # when each came, in seconds of the loop's clock
+        self.first_told: list[float] = []  # when one that knew nothing was told the list
 
     async def start(self) -> None:
         """Listen on a free port; after a stop at the same one, with the events told so far."""
@@ -76,6 +77,8 @@
                 writer.close()
                 return
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+            if last == 0 and self._events:
+                self.first_told.append(asyncio.get_running_loop().time())
             while not writer.is_closing():
                 for event in self._events[last:]:
                     writer.write(f"id: {event['rev']}\ndata: {json.dumps(event)}\n\n".encode())
--- a/standins/server.py
+++ b/standins/server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import time
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -16,6 +17,7 @@
 
 REJECT_SHARE, RELEASE_SHARE = 0.2, 0.15  # of a set-up's work
 TELLS_EVERY_S = 0.5
+WARMS_EVERY_S = 0.1
 SECOND_MS = 1000.0
 
 
@@ -42,6 +44,8 @@
     set_ups: int = 0
     connections: int = 0  # open now
     accepted: list[float] = field(default_factory=list)  # when each came, in seconds of the loop's clock
+    came: list[float] = field(default_factory=list)  # when each set-up did
+    started_ms: float = 0.0  # Unix; 0: long ago.  One that has just started is as slow as ``begin_cold`` says
     stood: set[str] = field(default_factory=set)
     cancelled: set[str] = field(default_factory=set)
     _queue: deque[Job] = field(default_factory=deque)
@@ -64,6 +68,14 @@
         self._server.close()
         await self._tasks.end()
 
+    async def begin_cold(self, share: float, warm_s: float) -> None:
+        """As one that has just started: from this share of its speed to all of it, evenly."""
+        self.started_ms, began = time.time() * SECOND_MS, time.monotonic()
+        while (age := (time.monotonic() - began) / warm_s) < 1.0:
+            self.speed = share + (1.0 - share) * age
+            await asyncio.sleep(WARMS_EVERY_S)
+        self.speed = 1.0
+
     def wait_ms(self) -> float:
         """How long what comes now would wait."""
         return sum(job.share for job in self._queue) * SECOND_MS / self.capacity_per_s / self.speed
@@ -125,6 +137,7 @@
         match message.method, message.status:
             case "INVITE", 0:
                 self.set_ups += 1
+                self.came.append(asyncio.get_running_loop().time())
                 self.cancelled.discard(message.call_id)
                 if self.wait_ms() > self.full_ms:
                     full = sip.response(503, "full", message)
--- /dev/null
+++ b/tests/test_experiments.py
@@ -0,0 +1,160 @@
+"""The experiment tool: its file, what it measures, and small plays of it, on processes and simulated."""
+
+from __future__ import annotations
+
+import pyarrow.parquet
+import pytest
+from click.testing import CliRunner
+
+from canvasplank.settings import ConfigurationError
+from experiments import measures, report, simulation
+from experiments.__main__ import cli
+from experiments.measures import Call, Cold, Figure, Observed
+from experiments.plan import load_experiment
+
+SMALL = """
+name = "small"
+sizes = [3]
+simulated_sizes = [30]
+seeds = [1]
+for_s = 4.0
+calls_per_s = 20.0
+[servers]
+count = 3
+[[variant]]
+name = "as it is"
+[[variant]]
+name = "paced"
+[variant.starting]
+polls_per_s = 20.0
+servers_per_proxy = 2
+"""
+
+
+def written(tmp_path, text: str) -> str:
+    (tmp_path / "experiment.toml").write_text(text)
+    return str(tmp_path / "experiment.toml")
+
+
+def value(figures: list[Figure], what: str) -> float | None:
+    [found] = [figure.value for figure in figures if figure.what == what]
+    return found
+
+
+class TestPlan:
+    """The file."""
+
+    @pytest.mark.parametrize("name", ["cold-start", "cold-start-rows"])
+    def test_the_files_that_come_with_it_are_good(self, name):
+        assert load_experiment(f"experiments/{name}.toml").variant
+
+    @pytest.mark.parametrize(("more", "said"), [
+        ('[[variant]]\nname = "paced"', "two variants have one name"),
+        ('[[fault]]\nwhat = "board-closes"\nat_s = 3.0\nfor_s = 2.0', "does not end within 4 s"),
+        ('[[fault]]\nwhat = "proxies-frozen"\nfor_s = 1.0', "cannot be simulated: proxies-frozen"),
+        ('[[fault]]\nwhat = "rain"', "Invalid enum value"),
+        ('[[fault]]\nwhat = "board-closes"\npart = 0.0', "Expected `float` > 0"),
+        ("[servers]", "Cannot declare"),
+    ])
+    def test_a_bad_one_is_one_line(self, tmp_path, more, said):
+        with pytest.raises(ConfigurationError, match=said) as fault:
+            load_experiment(written(tmp_path, f"{SMALL}\n{more}"))
+        assert "\n" not in str(fault.value)
+
+
+class TestMeasures:
+    """Figures from times."""
+
+    def test_polls_in_trouble_count_from_when_all_are_up_and_their_first_polls_over(self):
+        seen = Observed(2, 10.0, up=[0.0, 1.0], polls=[1.0, 4.9, 5.0, 6.0, 7.0, 8.0, 9.9, 10.0, 10.05],
+                        told=[0.5, 10.5, 14.0])
+        found = measures.figures(seen, 20.0, back_s=10.0)
+        assert value(found, "polls a second while the board is in trouble") == 5 / 5.0
+        assert value(found, "100% have the list after its return") == 4.0
+        assert value(found, "50% have the list after its return") == 0.5
+        assert value(found, "polls after its return, most in 0.1 s") == 2
+
+    def test_a_list_that_never_reaches_all_is_never(self):
+        seen = Observed(3, 10.0, polls=[1.0], told=[11.0, 12.0])
+        assert value(measures.figures(seen, 20.0, 10.0), "100% have the list after its return") is None
+
+    @pytest.mark.parametrize(("lost", "since_s"), [
+        ([], 0.0),
+        ([50], 0.0),  # one in the twenty of two seconds is borne
+        ([0, 1, 2], 0.2),
+        ([50, 51], 5.1),
+        ([85, 86], None),  # the last whole window is bad
+        (range(100), None),
+    ])
+    def test_service_is_steady_since_the_last_bad_window(self, lost, since_s):
+        calls = [Call(n / 10, "lost" if n in lost else "served", 0.1) for n in range(100)]
+        assert measures.steady_from(calls, 10.0) == since_s
+
+    def test_a_wait_counts_from_when_the_call_was_due(self):
+        seen = Observed(1, 10.0, calls=[Call(0.0, "served", 0.05), Call(1.0, "served", 2.0),
+                                        Call(2.0, "lost", 9.0)])
+        found = measures.figures(seen, 5.0, None)
+        assert value(found, "served of all calls") == pytest.approx(2 / 3)
+        assert value(found, "set-up time, 99 %") == pytest.approx(2000.0, rel=0.01)
+
+    def test_a_cold_server_falls_by_what_it_can_do_then(self):
+        cold = Cold(began_s=10.0, share=0.3, warm_s=10.0, multiple=2.0, span_s=1.0)
+        rush = [10.0 + n / 100 for n in range(60)]
+        assert measures.worst_load(rush, cold, 100.0) == pytest.approx(60 / (2 * 30))
+        later = [at + 5.0 for at in rush]
+        assert measures.worst_load(later, cold, 100.0) == pytest.approx(60 / (2 * 65), rel=0.01)
+        assert measures.worst_load([9.0, 9.1], cold, 100.0) == 0.0, "before it started"
+
+
+@pytest.fixture(scope="module")
+def played():
+    experiment = load_experiment("experiments/cold-start.toml")
+    return {variant.name: simulation.play(experiment, variant, 300, seed=1) for variant in experiment.variant}
+
+
+class TestSimulation:
+    """The program's own decisions, by the hundred."""
+
+    def test_what_the_processes_showed_as_they_were_shows_here(self, played):
+        """Measured on 300 processes: 372 polls a second for as long as the board is in trouble."""
+        found = measures.figures(played["as it is"], 55.0, 25.0)
+        assert value(found, "polls a second while the board is in trouble") == pytest.approx(375, rel=0.05)
+        assert value(found, "connections at a server, most in 1 s") == 300
+
+    def test_with_the_pace_and_the_subset_board_and_servers_are_spared(self, played):
+        found = measures.figures(played["paced, subset, ramp"], 55.0, 25.0)
+        assert value(found, "polls a second while the board is in trouble") <= 38
+        assert value(found, "polls, most in 0.1 s") <= 15
+        assert value(found, "connections at a server, most in 1 s") <= 40
+        assert value(found, "connections at a server at the end, most") <= 150
+        assert value(found, "load of a cold server, over what it bears, worst") < 1.0
+
+    def test_the_same_seed_plays_the_same(self, played):
+        experiment = load_experiment("experiments/cold-start.toml")
+        again = simulation.play(experiment, experiment.variant[2], 300, seed=1)
+        assert again.polls == played["paced, subset, ramp"].polls
+        assert again.calls == played["paced, subset, ramp"].calls
+
+
+def test_a_small_experiment_on_processes_and_simulated_leaves_tables_charts_and_a_summary(tmp_path):
+    ran = CliRunner().invoke(cli, ["run", written(tmp_path, SMALL), "--to", str(tmp_path / "to")])
+    assert ran.exit_code == 0, ran.output
+    table = pyarrow.parquet.read_table(tmp_path / "to" / "figures.parquet").to_pylist()
+    assert {(row["way"], row["size"], row["variant"]) for row in table} == {
+        (way, size, variant) for way, size in (("processes", 3), ("simulated", 30))
+        for variant in ("as it is", "paced")}
+    served = [row["value"] for row in table if row["what"] == "served of all calls"]
+    assert len(served) == 4 and min(served) > 0.2
+    assert (tmp_path / "to" / "series.csv").read_text().count("\n") > 50
+    assert "3 proxies, processes:" in (tmp_path / "to" / "summary.md").read_text()
+    assert sorted(path.name for path in (tmp_path / "to").glob("*.svg")) == [
+        "small-3-processes.svg", "small-30-simulated.svg"]
+
+
+def test_a_summary_says_where_a_figure_did_not_come_to_be():
+    def played(seed, found):
+        return report.Played("e", "simulated", 5, "v", seed, [Figure("heard", "s", found)], {})
+
+    assert "| heard (s) | 2.5 (2 to 3), in 2 of 3 |" in report.summary(
+        [played(1, 2.0), played(2, None), played(3, 3.0)])
+    assert "| heard (s) | never |" in report.summary([played(1, None)])
