Experiments inflict faults on the fleet's store, and prove its budgets through them

Need: the proof that shares never sum to more than the whole ran on a schedule of its own; an experiment file now names proxies cut off from the store both ways or one, a store that stalls or restarts, kills and freezes, and every play gives the two proofs as figures (shares at any instant over what may be leased, units past the whole in any window). A test shows that the figure passes 1 where two shares overlap, and plays six processes through three faults.

--- a/experiments/measures.py
+++ b/experiments/measures.py
@@ -8,8 +8,9 @@
 
 from hdrh.histogram import HdrHistogram
 
-from checks.spending import most_in
+from checks.spending import Trace, most_in, most_shared, worst_window
 
+MS = 1000.0
 LONGEST_MS, DIGITS = 60_000, 3
 STEADY_SHARE, STEADY_S = 0.95, 2.0  # served of what came in every window so long
 TROUBLE_SETTLES_S = 4.0  # after the last is up: first polls are over
@@ -33,6 +34,20 @@
     span_s: float
 
 
+class Budget(NamedTuple):
+    """A budget of the whole fleet, and what every process that ever ran said of it."""
+
+    whole_per_s: float
+    leased_per_s: float
+    burst_ms: float
+    traces: list[Trace]
+    began_ms: float  # the play's start on the traces' clock
+
+    def spent(self) -> list[float]:
+        """When each unit was, in seconds since the start."""
+        return [(at - self.began_ms) / MS for trace in self.traces for at in trace.spent]
+
+
 @dataclass
 class Observed:
     """One play of one variant."""
@@ -50,6 +65,7 @@
     memory_mb: list[float] = field(default_factory=list)  # of each proxy, at the end
     cpu_s: list[float] = field(default_factory=list)
     late_ms: list[float] = field(default_factory=list)  # how late the rig's own loop was, each 10 ms
+    budgets: dict[str, Budget] = field(default_factory=dict)  # those that were traced
 
 
 class Figure(NamedTuple):
@@ -143,6 +159,7 @@
             worst_load(seen.set_ups.get(name, ()), cold, seen.capacity_per_s)
             for name, cold in seen.cold.items())))
     rows += _of_the_calls(seen, for_s)
+    rows += [figure for name, budget in seen.budgets.items() for figure in _of_a_budget(name, budget, for_s)]
     for what, unit, values in (("memory of a proxy, mean", "MB", seen.memory_mb),
                                ("processor time of a proxy, mean", "s", seen.cpu_s)):
         if values:
@@ -172,6 +189,19 @@
     return [*rows, Figure("polls after its return, most in 0.1 s", "", most_in(after, 0.1))]
 
 
+def _of_a_budget(name: str, budget: Budget, for_s: float) -> list[Figure]:
+    """The proofs, each as a part of what is allowed: past 1 it does not hold."""
+    processes = max(1, sum(bool(trace.spent) for trace in budget.traces))
+    return [
+        Figure(f"budget {name}: shares at any instant, most, over what may be leased", "",
+               most_shared(budget.traces) / budget.leased_per_s if budget.leased_per_s else 0.0),
+        Figure(f"budget {name}: spent past the whole in any window, over one unit a process", "",
+               worst_window(budget.traces, budget.whole_per_s, budget.burst_ms) / processes),
+        Figure(f"budget {name}: spent of the whole", "",
+               len(budget.spent()) / (budget.whole_per_s * for_s)),
+    ]
+
+
 def _of_the_calls(seen: Observed, for_s: float) -> list[Figure]:
     if not seen.calls:
         return []
--- a/experiments/plan.py
+++ b/experiments/plan.py
@@ -19,10 +19,15 @@
     "proxies-killed",  # and started again at the end, under their names
     "proxies-frozen",
     "proxies-cut-off",  # from the board
+    "proxies-cut-off-store",  # from the fleet's store, both ways
+    "proxies-deaf-store",  # what they ask arrives there, and its answers do not arrive here
+    "store-stalls",
+    "store-restarts",  # every connection ends, and none comes up meanwhile
     "servers-silent",
     "servers-cold",  # their processes have just started at that time; ``for_s`` is not used
 ]
 BOARD = ("board-closes", "board-stalls", "board-busy", "board-away")
+STORE = ("proxies-cut-off-store", "proxies-deaf-store", "store-stalls", "store-restarts")
 SIMULATED = (*BOARD, "servers-cold")
 
 
@@ -46,7 +51,7 @@
 
     name: Annotated[str, msgspec.Meta(min_length=1, max_length=60)]
     starting: dict[str, Any] | None = None
-    fleet: dict[str, Any] | None = None
+    fleet: dict[str, Any] | None = None  # path and dsn are the rig's; with ``trace`` its budgets are proved
 
 
 class Servers(msgspec.Struct, forbid_unknown_fields=True):
@@ -86,7 +91,10 @@
     names = [variant.name for variant in experiment.variant]
     if len(set(names)) < len(names):
         raise ValueError("two variants have one name")
+    engines = {variant.fleet.get("backend") for variant in experiment.variant if variant.fleet}
     for fault in experiment.fault:
+        if fault.what in STORE and engines != {"postgresql"}:
+            raise ValueError(f"{fault.what} is for fleets on postgresql")
         if fault.ends_s > experiment.for_s:
             raise ValueError(f"{fault.what} at {fault.at_s:g} s does not end within {experiment.for_s:g} s")
     if experiment.simulated_sizes:
--- a/experiments/report.py
+++ b/experiments/report.py
@@ -47,6 +47,8 @@
         CONNECTIONS: list(per_second([at for times in seen.connections.values() for at in times], for_s)),
         SET_UPS: list(per_second([at for times in seen.set_ups.values() for at in times], for_s)),
     }
+    for name, budget in seen.budgets.items():
+        found[f"{name} spent"] = list(per_second(budget.spent(), for_s))
     if seen.calls:
         found[SERVED] = served_share(seen.calls, for_s)
     return found
--- a/experiments/stage.py
+++ b/experiments/stage.py
@@ -9,23 +9,28 @@
 import signal
 import tempfile
 import time
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
+from urllib.parse import urlsplit
 
 import tomli_w
 
-from experiments.measures import Call, Cold, Observed
+from canvasplank.fleet.agent import steady_ms
+from canvasplank.fleet.config import Fleet as Budgets
+from canvasplank.fleet.config import load_fleet
+from checks.spending import read_trace
+from experiments.measures import MS, Budget, Call, Cold, Observed
 from experiments.plan import Experiment, Fault, Variant
 from standins.callers import Callers
 from standins.fleet import Fleet, Proxy, fleet
 from standins.front import until_passed
 from standins.link import Link
+from standins.postgresql import Faults, PostgresqlStandIn
 from standins.server import CallServer
 from standins.tasks import Tasks
 
 RULES = ("cold_share", "warm_within_ms", "tip_multiple", "overload_for_ms")  # a cold server's
-MS = 1000.0
 LATE_LOOK_S = 0.01
 LAST_ANSWERS_S = 4.0
 KIB_A_MB = 1024.0
@@ -46,7 +51,9 @@
         self.seen = Observed(size, experiment.servers.capacity_per_s)
         self._tasks = Tasks()
         self._began_s = asyncio.get_running_loop().time()
-        self._environment = self._parts()
+        self._starts = 0
+        self._store: PostgresqlStandIn | None = None
+        self._links: dict[str, Link] = {}  # from each proxy to the store
         self._beyond = self._drawn([f"n{n}" for n in range(size)], next(
             (fault.part for fault in experiment.fault if fault.what == "proxies-cut-off"), 0.0))
         started.board_for = lambda name: self.far.address if name in self._beyond else self.board.address
@@ -55,25 +62,40 @@
         """Since the start."""
         return asyncio.get_running_loop().time() - self._began_s
 
-    def _parts(self) -> dict[str, str]:
-        """The files of the parts that this variant switches on."""
+    async def _parts(self, name: str) -> dict[str, str]:
+        """The files of the parts that this variant switches on, as the proxy of this name has them."""
         environment = {}
-        for part in ("starting", "fleet"):
-            settings: Mapping[str, Any] | None = getattr(self.variant, part)
-            if settings is not None:
-                if settings.get("backend") == "sqlite":
-                    settings = {**settings, "path": str(self.fleet.folder / "fleet.db")}
-                path = self.fleet.folder / f"{part}.toml"
-                path.write_text(tomli_w.dumps(dict(settings)))
-                environment[f"CANVASPLANK_{part.upper()}"] = str(path)
+        if self.variant.starting is not None:
+            environment["CANVASPLANK_STARTING"] = self._file("starting", self.variant.starting)
+        if self.variant.fleet is not None:
+            settings = {**self.variant.fleet, **await self._store_as_seen_by(name)}
+            environment["CANVASPLANK_FLEET"] = self._file(f"fleet-{name}", settings)
+            environment["CANVASPLANK_LOG"] = "json"
         return environment
 
+    def _file(self, name: str, settings: dict[str, Any]) -> str:
+        path = self.fleet.folder / f"{name}.toml"
+        path.write_text(tomli_w.dumps(settings))
+        return str(path)
+
+    async def _store_as_seen_by(self, name: str) -> dict[str, str]:
+        if self._store is None:
+            return {"path": str(self.fleet.folder / "fleet.db")}
+        where = urlsplit(self._store.dsn)
+        if name not in self._links:
+            self._links[name] = Link(f"{where.hostname}:{where.port}")
+            await self._links[name].start()
+        return {"dsn": where._replace(netloc=f"{where.username}@{self._links[name].address}").geturl()}
+
     def _drawn(self, names: list[str], part: float) -> set[str]:
         return set(self.random.sample(names, round(part * len(names))))
 
     async def play(self) -> Observed:
         """Everything; gives what was seen."""
         await self.far.start()
+        if (self.variant.fleet or {}).get("backend") == "postgresql":
+            self._store = PostgresqlStandIn(self.fleet.folder)
+            await self._store.start()
         self._tasks.keep(self._watch_the_rig())
         for fault in self.experiment.fault:
             self._tasks.keep(self._inflict(fault))
@@ -87,11 +109,16 @@
         self._note()
         await self._tasks.end()
         await self.callers.stop()
-        await self.far.stop()
+        for link in (self.far, *self._links.values()):
+            await link.stop()
+        if self._store is not None:
+            await self._store.stop()
         return self.seen
 
     async def _start(self, name: str, seed: int) -> None:
-        proxy = await self.fleet.proxy(name, seed, **self._environment)
+        self._starts += 1  # each start has files and a log of its own, under the one name
+        tag, environment = f"{name}.{self._starts}", await self._parts(name)
+        proxy = await self.fleet.proxy(tag, seed, EDGE_NAME=name, **environment)
         self.proxies[name] = proxy
         self.seen.up.append(self.now_s())
         await until_passed(proxy.address)
@@ -126,6 +153,14 @@
                 return board.stop, board.start
             case "proxies-cut-off":
                 return _call(self.far.cut), _call(self.far.heal)
+            case "proxies-cut-off-store" | "proxies-deaf-store":
+                ways = ("back",) if fault.what == "proxies-deaf-store" else ()
+                drawn = self._drawn([f"n{n}" for n in range(self.size)], fault.part)
+                return _call(self._cut_off, drawn, ways), _call(self._reach_again, drawn)
+            case "store-stalls":
+                return _set(self._store_faults, stalled=True), _set(self._store_faults, stalled=False)
+            case "store-restarts":
+                return (lambda: self._store.restart(fault.for_s)), _call(list)
             case "proxies-frozen":
                 drawn = self._drawn([f"n{n}" for n in range(self.size)], fault.part)
                 return _call(self._each, drawn, Proxy.freeze), _call(self._each, drawn, Proxy.wake)
@@ -153,6 +188,18 @@
         for name in sorted(names - set(self.proxies)):
             self._tasks.keep(self._start(name, int(name[1:])))
 
+    @property
+    def _store_faults(self) -> Faults:
+        return self._store.faults
+
+    def _cut_off(self, names: set[str], ways: tuple[str, ...]) -> None:
+        for name in names & set(self._links):
+            self._links[name].cut(*ways)
+
+    def _reach_again(self, names: set[str]) -> None:
+        for name in names & set(self._links):
+            self._links[name].heal()
+
     def _silence(self, names: set[str], silent: bool) -> None:
         for server in self.servers:
             if server.name in names:
@@ -181,11 +228,22 @@
             seen.open_at_end[server.name] = server.connections
             seen.set_ups[server.name] = self._since(server.came)
         seen.calls = [Call(t.due_s - began_unix_s, t.outcome, t.took_s) for t in self.callers.tries.values()]
+        if (self.variant.fleet or {}).get("trace"):
+            self._note_budgets(load_fleet(str(next(self.fleet.folder.glob("fleet-*.toml")))))
         for proxy in self.proxies.values():
             with contextlib.suppress(OSError):
                 seen.memory_mb.append(_resident_mb(proxy.process.pid))
                 seen.cpu_s.append(_processor_s(proxy.process.pid))
 
+    def _note_budgets(self, settings: Budgets) -> None:
+        """What every process that ever ran has said of them."""
+        began_ms = steady_ms() - self.now_s() * MS
+        for each in settings.budget:
+            traces = [read_trace(proxy.log, each.name) for proxy in self.fleet.proxies]
+            leased_per_s = each.whole_per_s * (1 - each.kept_back)
+            self.seen.budgets[each.name] = Budget(each.whole_per_s, leased_per_s, settings.burst_ms, traces,
+                                                  began_ms)
+
 
 def _set(thing: object, **values: object) -> Callable[[], Awaitable]:
     async def change() -> None:
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -7,9 +7,10 @@
 from click.testing import CliRunner
 
 from canvasplank.settings import ConfigurationError
+from checks.spending import Trace
 from experiments import measures, report, simulation
 from experiments.__main__ import cli
-from experiments.measures import Call, Cold, Figure, Observed
+from experiments.measures import Budget, Call, Cold, Figure, Observed
 from experiments.plan import load_experiment
 
 SMALL = """
@@ -44,7 +45,7 @@
 class TestPlan:
     """The file."""
 
-    @pytest.mark.parametrize("name", ["cold-start", "cold-start-rows"])
+    @pytest.mark.parametrize("name", ["budget-storm", "cold-start", "cold-start-rows"])
     def test_the_files_that_come_with_it_are_good(self, name):
         assert load_experiment(f"experiments/{name}.toml").variant
 
@@ -52,6 +53,7 @@
         ('[[variant]]\nname = "paced"', "two variants have one name"),
         ('[[fault]]\nwhat = "board-closes"\nat_s = 3.0\nfor_s = 2.0', "does not end within 4 s"),
         ('[[fault]]\nwhat = "proxies-frozen"\nfor_s = 1.0', "cannot be simulated: proxies-frozen"),
+        ('[[fault]]\nwhat = "store-stalls"', "store-stalls is for fleets on postgresql"),
         ('[[fault]]\nwhat = "rain"', "Invalid enum value"),
         ('[[fault]]\nwhat = "board-closes"\npart = 0.0', "Expected `float` > 0"),
         ("[servers]", "Cannot declare"),
@@ -65,6 +67,19 @@
 class TestMeasures:
     """Figures from times."""
 
+    def test_a_budget_that_is_kept_and_one_that_is_not(self):
+        def proved(second_from_ms: float) -> list[float | None]:
+            first = Trace("a", 0.5, [(0.0, 1000.0, 8.0)], [100.0 * n for n in range(10)])
+            second = Trace("b", 0.5, [(second_from_ms, 2000.0, 8.0)], [900.0 + 100.0 * n for n in range(10)])
+            traces = [first, second]
+            seen = Observed(2, 10.0, budgets={"all": Budget(10.0, 9.0, 100.0, traces, 0.0)})
+            return [figure.value for figure in measures.figures(seen, 2.0, None)
+                    if figure.what.startswith("budget all: s")]
+
+        kept, broken = proved(1000.0), proved(900.0)
+        assert kept[0] == pytest.approx(8 / 9) and broken[0] == pytest.approx(16 / 9)
+        assert kept[1] <= 1.0 and kept[2] == 1.0
+
     def test_polls_in_trouble_count_from_when_all_are_up_and_their_first_polls_over(self):
         seen = Observed(2, 10.0, up=[0.0, 1.0], polls=[1.0, 4.9, 5.0, 6.0, 7.0, 8.0, 9.9, 10.0, 10.05],
                         told=[0.5, 10.5, 14.0])
@@ -151,6 +166,40 @@
         "small-3-processes.svg", "small-30-simulated.svg"]
 
 
+def test_a_budget_is_proved_through_faults_of_proxies_and_store(tmp_path):
+    """Six processes; a third of them cut off one way, one killed, the store stalled past a lease."""
+    storm = """
+name = "storm"
+sizes = [6]
+seeds = [1]
+for_s = 9.0
+calls_per_s = 120.0
+fault = [
+  {what = "proxies-deaf-store", at_s = 3.0, for_s = 2.0, part = 0.34},
+  {what = "proxies-killed", at_s = 3.5, for_s = 1.0, part = 0.17},
+  {what = "store-stalls", at_s = 5.5, for_s = 2.0},
+]
+[servers]
+capacity_per_s = 1000.0
+hold_ms = 50.0
+[[variant]]
+name = "shares"
+[variant.fleet]
+backend = "postgresql"
+proxies_most = 12
+lease_ms = 1200.0
+renew_ms = 300.0
+request_ms = 300.0
+trace = true
+budget = [{name = "all", kind = "set-ups", whole_per_s = 60.0, kept_back = 0.2}]
+"""
+    ran = CliRunner().invoke(cli, ["run", written(tmp_path, storm), "--to", str(tmp_path / "to")])
+    assert ran.exit_code == 0, ran.output
+    table = pyarrow.parquet.read_table(tmp_path / "to" / "figures.parquet").to_pylist()
+    shared, window, spent = [row["value"] for row in table if row["what"].startswith("budget all: s")]
+    assert 0.5 < shared <= 1.0 + 1e-9 and window <= 1.0 and spent > 0.1
+
+
 def test_a_summary_says_where_a_figure_did_not_come_to_be():
     def played(seed, found):
         return report.Played("e", "simulated", 5, "v", seed, [Figure("heard", "s", found)], {})
