--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import math
 import time
 from collections import Counter
+from types import SimpleNamespace
 
 import pytest
 from conftest import Gateway, settings
 
 from canvasplank import interface as api
-from canvasplank.settings import Instance
+from canvasplank.settings import Instance, server_of
+from canvasplank.starting.part import Starting, StartingPart
 from canvasplank.starting.subset import Subset, choose, rank, shared_by
 from standins.callers import Callers
-from standins.fleet import fleet
+from standins.fleet import ROOT, fleet
 from standins.server import CallServer
 
 WAIT_S = 30.0
@@ -151,6 +154,46 @@
             assert sum(at >= 7000 for at in sent) > 1.5 * first, "it grows"
 
 
+class Fake:
+    """A host with nothing behind it but what a start asks of it."""
+
+    def __init__(self, instances: int, members: int = 0, part: float | None = None) -> None:
+        example = json.loads((ROOT / "examples" / "config.json").read_text())
+        example["settings"]["instances"] = instances
+        self.configuration = SimpleNamespace(settings=example["settings"], seed="1", name="proxy-0")
+        self.exchange = SimpleNamespace(carries=lambda _: False)
+        self.board, self.servers = SimpleNamespace(), SimpleNamespace(processes=list)
+        self.count_fleet, self.part_of_fleet = lambda: members, lambda: part
+
+
+@pytest.mark.parametrize(("members", "part", "servers_per_proxy", "begin_per_s"), [
+    (0, None, 0, 30.0 / 100),  # one of those that the settings name
+    (60, None, 0, 30.0 / 60),  # of those that the fleet's rows name
+    (60, 0.2, 0, 30.0 * 0.2),  # what the lease makes it
+    (0, None, 3, 30.0 / (100 // 4 + 15)),  # of those that share a server
+    (60, 0.01, 3, 30.0 * 0.01 * 4),  # its lease, over a quarter of the servers
+    (60, 0.9, 3, 30.0),  # and no more than all
+])
+def test_a_start_is_a_part_of_a_whole(members, part, servers_per_proxy, begin_per_s):
+    settings_file = Starting(begin_per_s=30.0, servers_per_proxy=servers_per_proxy)
+    start = StartingPart(Fake(100, members, part), settings_file)
+    start.narrowed(True, instances(12))
+    entry = start.entered(api.Server("s-0", 0, api.ServerState.READY))
+    assert entry.begin_per_s == pytest.approx(begin_per_s)
+
+
+def test_all_parts_of_a_start_sum_to_no_more_than_the_whole():
+    """By shares of a lease, however uneven, and by those who share each server."""
+    listed, whole = instances(12), Counter()
+    for name in names(100):
+        fake = Fake(100)
+        fake.configuration.name = name
+        start = StartingPart(fake, Starting(begin_per_s=30.0, servers_per_proxy=3))
+        for instance in start.narrowed(True, listed):
+            whole[instance.instance_id] += start.entered(server_of(instance)).begin_per_s
+    assert max(whole.values()) <= 30.0 * 1.05 and min(whole.values()) > 30.0 / 3
+
+
 def test_twenty_four_processes_keep_to_four_of_twelve_servers_each(tmp_path):
     """Connections, service, a server that drains, and the release of a call at one that others now have."""
     count, most = 24, 4
