--- a/canvasplank/settings.py
+++ b/canvasplank/settings.py
@@ -48,6 +48,7 @@
     lifecycle: str
     cell: int = 0
     started_at_ms: float = 0
+    zone: str = ""
 
 
 class Pool(msgspec.Struct):
--- a/canvasplank/starting/part.py
+++ b/canvasplank/starting/part.py
@@ -15,18 +15,19 @@
 from canvasplank.starting.subset import Subset
 from canvasplank.switch import load_switch
 
-Rate = Annotated[float, msgspec.Meta(gt=0, le=100_000)]
+Rate = Annotated[float, msgspec.Meta(ge=0, le=100_000)]
 LOOK_MS = 1000.0  # between two looks at servers that are left to others, and at the fleet's size
 CHANGED = 0.1  # of the number of proxies that share a server: so much is worth telling the module
 
 
 class Starting(msgspec.Struct, forbid_unknown_fields=True):
-    """What the notice board and each call server are to bear of the whole fleet."""
+    """What the notice board and each call server are to bear of the whole fleet; 0: no bound on it."""
 
-    polls_per_s: Rate = 30.0  # while it is in trouble
-    first_per_s: Rate = 75.0  # first polls after a start, and when it is known to be back
-    connections_per_s: Rate = 60.0  # first connections at each call server
-    begin_per_s: Annotated[float, msgspec.Meta(ge=0, le=100_000)] = 0.0  # set-ups there at first; 0: no bound
+    polls_per_s: Rate = 0.0  # while it is in trouble
+    first_per_s: Rate = 0.0  # first polls after a start, and when it is known to be back; 0: as polls_per_s
+    connections_per_s: Rate = 0.0  # first connections at each call server
+    begin_per_s: Rate = 0.0  # set-ups there at first
+    ready_with_list: bool = False  # no test is passed before a list names a server
     servers_per_proxy: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 0  # for each class of call; 0: all
 
 
@@ -48,7 +49,9 @@
         self._subset = Subset(host.configuration.name, groups,
                               settings.servers_per_proxy, host.exchange.carries)
         self._told_of = 0  # proxies, when the module last heard how many share a server
-        host.board.pace = PollPace(self._fleet, settings.polls_per_s, settings.first_per_s, self._rng)
+        if (polls_per_s := settings.polls_per_s) > 0:
+            first_per_s = settings.first_per_s or polls_per_s
+            host.board.pace = PollPace(self._fleet, polls_per_s, first_per_s, self._rng)
         host.servers.opening = self
 
     async def start(self) -> None:
@@ -58,7 +61,7 @@
 
     def ready(self) -> bool:
         """See ``Part``: guards callers against one that has no list yet and could only turn them away."""
-        return bool(self._host.servers.processes())
+        return not self._settings.ready_with_list or bool(self._host.servers.processes())
 
     def count(self) -> None:
         """See ``Part``."""
@@ -82,7 +85,9 @@
 
     def first_ms(self) -> float:
         """See ``Opening``."""
-        return self._rng.uniform(0.0, SECOND_MS * self._fleet() / self._settings.connections_per_s)
+        if not (per_s := self._settings.connections_per_s):
+            return 0.0
+        return self._rng.uniform(0.0, SECOND_MS * self._fleet() / per_s)
 
     def let_go(self, server_id: str) -> bool:
         """See ``Opening``."""
--- a/canvasplank/starting/subset.py
+++ b/canvasplank/starting/subset.py
@@ -1,8 +1,9 @@
 """Which call servers one of hundreds of proxies keeps to, and how many share each.
 
-No I/O and no clock.  By rendezvous hashing: every proxy ranks every server by a hash of both names and keeps
-to the first of its ranking, so nobody has to agree on anything, and a server that comes or goes moves only
-those proxies that keep to it.
+No I/O and no clock.  By rendezvous hashing: every proxy ranks the servers of each zone by a hash of both
+names and keeps to the first of its rankings, of each zone in proportion to its size.  So nobody has to agree
+on anything, a server that comes or goes moves few proxies but those that keep to it, and a proxy whose zone
+is cut off from the others still has servers.
 """
 
 from __future__ import annotations
@@ -20,10 +21,26 @@
 Pools = frozenset[int]
 
 
-def rank(name: str, server_ids: Iterable[str]) -> list[str]:
-    """All servers, those first that this proxy keeps to; a machine's or version's own hash would differ."""
-    return sorted(server_ids, reverse=True,
-                  key=lambda server_id: xxhash.xxh64_intdigest(f"{name}\0{server_id}".encode()))
+def _draw(name: str, of: str) -> float:
+    """From 0 to 1, the same everywhere; a machine's or version's own hash would differ."""
+    return xxhash.xxh64_intdigest(f"{name}\0{of}".encode()) / 2**64
+
+
+def rank(name: str, servers: Iterable[Instance]) -> list[str]:
+    """All servers, those first that this proxy keeps to: any first few are of each zone by its size.
+
+    The ranking of a zone with n servers stands at u/n, (1 + u)/n, ... (n - 1 + u)/n of the way, u being drawn
+    for the proxy: so each server is as likely among the first few, and no zone is missing by chance.
+    """
+    zones: dict[str, list[str]] = {}
+    for server in servers:
+        zones.setdefault(server.zone, []).append(server.instance_id)
+    places: list[tuple[float, str]] = []
+    for zone, server_ids in zones.items():
+        drawn = _draw(name, f"zone {zone}")
+        ranked = sorted(server_ids, key=lambda server_id: _draw(name, server_id))
+        places += [((place + drawn) / len(ranked), server_id) for place, server_id in enumerate(ranked)]
+    return [server_id for _, server_id in sorted(places)]
 
 
 def choose(name: str, ready: Sequence[Instance], groups: Iterable[Pools | None], most: int) -> set[str]:
@@ -31,11 +48,9 @@
 
     Guards a class that few servers may take against a subset with none of them.
     """
-    cells = {instance.instance_id: instance.cell for instance in ready}
-    ranked = rank(name, cells)
     chosen: set[str] = set()
     for pools in set(groups):
-        chosen.update([each for each in ranked if pools is None or cells[each] in pools][:most])
+        chosen.update(rank(name, [i for i in ready if pools is None or i.cell in pools])[:most])
     return chosen
 
 
--- a/experiments/simulation.py
+++ b/experiments/simulation.py
@@ -128,10 +128,11 @@
         self._controller = Controller(settings, self._rng.getrandbits(32))
         self._attempts: dict[str, int] = {}
         self._out: dict[str, int] = {}  # attempts that nobody has ended, by call
-        if starting is None:
+        if starting is None or not starting.polls_per_s:
             self._pace: PollPace | DoublingWaits = DoublingWaits()
         else:
-            self._pace = PollPace(lambda: self._count, starting.polls_per_s, starting.first_per_s, self._rng)
+            first_per_s = starting.first_per_s or starting.polls_per_s
+            self._pace = PollPace(lambda: self._count, starting.polls_per_s, first_per_s, self._rng)
         self._subset = Subset(f"n{number}", (None,), starting.servers_per_proxy if starting else 0,
                               lambda _: False)
         self._connected: set[str] = set()
@@ -140,7 +141,7 @@
     def start(self) -> None:
         """It is up; callers may come at once, or where a pace is set, once it has a list."""
         self._world.seen.up.append(self._clock.now_ms / MS)
-        if self._starting is None:
+        if self._starting is None or not self._starting.ready_with_list:
             self._world.ready.append(self)
         self._clock.after(self._pace.first(), self._poll)
 
@@ -155,11 +156,11 @@
 
     def _told(self) -> None:
         kept = self._subset.narrowed(True, self._world.instances())
-        if self._starting is not None:
+        if self._starting is not None and self._starting.ready_with_list:
             self._world.ready.append(self)
         for instance in kept:
-            spread_ms = 0.0 if self._starting is None else self._rng.uniform(
-                0.0, MS * self._count / self._starting.connections_per_s)
+            per_s = self._starting.connections_per_s if self._starting else 0.0
+            spread_ms = self._rng.uniform(0.0, MS * self._count / per_s) if per_s else 0.0
             self._clock.after(spread_ms, lambda name=instance.instance_id: self._connect(name))
         self._tell(api.ServerList(api.ListKind.COMPLETE, tuple(self._entered(i) for i in kept)))
 
