--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -45,7 +45,8 @@
 class TestPlan:
     """The file."""
 
-    @pytest.mark.parametrize("name", ["budget-storm", "cold-start", "cold-start-rows"])
+    @pytest.mark.parametrize("name", ["budget-storm", "cold-start", "cold-start-rows",
+                                      "cold-start-simulated"])
     def test_the_files_that_come_with_it_are_good(self, name):
         assert load_experiment(f"experiments/{name}.toml").variant
 
@@ -123,7 +124,7 @@
 
 @pytest.fixture(scope="module")
 def played():
-    experiment = load_experiment("experiments/cold-start.toml")
+    experiment = load_experiment("experiments/cold-start-simulated.toml")
     return {variant.name: simulation.play(experiment, variant, 300, seed=1) for variant in experiment.variant}
 
 
@@ -145,7 +146,7 @@
         assert value(found, "load of a cold server, over what it bears, worst") < 1.0
 
     def test_the_same_seed_plays_the_same(self, played):
-        experiment = load_experiment("experiments/cold-start.toml")
+        experiment = load_experiment("experiments/cold-start-simulated.toml")
         again = simulation.play(experiment, experiment.variant[2], 300, seed=1)
         assert again.polls == played["paced, subset, ramp"].polls
         assert again.calls == played["paced, subset, ramp"].calls
