--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -167,6 +167,38 @@
         "small-3-processes.svg", "small-30-simulated.svg"]
 
 
+def test_cold_servers_are_spared_by_twenty_four_processes_that_start_at_once(tmp_path):
+    """The board refuses, then tells them, with callers waiting and every server just started."""
+    rush = """
+name = "rush"
+sizes = [24]
+seeds = [1]
+for_s = 9.0
+calls_per_s = 150.0
+fault = [
+  {what = "board-busy", at_s = 0.0, for_s = 4.0, wait_s = 1},
+  {what = "servers-cold", at_s = 3.0},
+]
+[servers]
+count = 4
+capacity_per_s = 40.0
+[[variant]]
+name = "paced, subset, ramp"
+[variant.starting]
+polls_per_s = 16.0
+ready_with_list = true
+begin_per_s = 10.0
+servers_per_proxy = 2
+"""
+    ran = CliRunner().invoke(cli, ["run", written(tmp_path, rush), "--to", str(tmp_path / "to")])
+    assert ran.exit_code == 0, ran.output
+    table = pyarrow.parquet.read_table(tmp_path / "to" / "figures.parquet").to_pylist()
+    found = {row["what"]: row["value"] for row in table}
+    assert 0.0 < found["load of a cold server, over what it bears, worst"] < 1.0
+    assert found["connections at a server at the end, most"] < 24, "a subset"
+    assert found["polls, most in 0.1 s"] <= 12
+
+
 def test_a_budget_is_proved_through_faults_of_proxies_and_store(tmp_path):
     """Six processes; a third of them cut off one way, one killed, the store stalled past a lease."""
     storm = """
