--- a/experiments/stage.py
+++ b/experiments/stage.py
@@ -33,6 +33,7 @@
 RULES = ("cold_share", "warm_within_ms", "tip_multiple", "overload_for_ms")  # a cold server's
 LATE_LOOK_S = 0.01
 LAST_ANSWERS_S = 4.0
+TESTS_PER_S = 200.0  # of all proxies together: the rig has other things to do
 KIB_A_MB = 1024.0
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
@@ -121,7 +122,7 @@
         proxy = await self.fleet.proxy(tag, seed, EDGE_NAME=name, **environment)
         self.proxies[name] = proxy
         self.seen.up.append(self.now_s())
-        await until_passed(proxy.address)
+        await until_passed(proxy.address, self.size / TESTS_PER_S)
         await self.callers.add_proxy(proxy.address)
 
     async def _watch_the_rig(self) -> None:
