--- a/canvasplank/starting/subset.py
+++ b/canvasplank/starting/subset.py
@@ -58,8 +58,8 @@
               proxies: int) -> int:
     """How many of so many proxies keep to a server of this cell: no more than this, but for rare chance.
 
-    A proxy that has a server among the first of a larger group has it, but for a zone's rounding, among those of
-    a smaller one within it; so only the smallest groups add up.
+    A proxy that has a server among the first of a larger group has it, but for a zone's rounding, among those
+    of a smaller one within it; so only the smallest groups add up.
     """
     cells = [instance.cell for instance in ready]
     every = frozenset(cells)
--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,39 @@
+"""The files under ``deploy/``: what `run` names is there, and each is one that its part reads."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from canvasplank.fleet.config import load_fleet
+from canvasplank.learning.config import load_learning
+from canvasplank.membership.config import load_membership
+from canvasplank.parts import TABLE, switched_on
+from canvasplank.starting.part import Starting
+from canvasplank.store.config import load_store
+from canvasplank.switch import load_switch
+from canvasplank.work.config import load_work
+
+ROOT = Path(__file__).parent.parent
+LOADS = {"fleet": load_fleet, "learning": load_learning, "membership": load_membership, "store": load_store,
+         "work": load_work, "starting": lambda path: load_switch(path, "starting", Starting, lambda _: None)}
+
+
+@pytest.mark.parametrize("name", sorted(LOADS))
+def test_a_file_with_everything_in_it_is_read(name):
+    assert LOADS[name](str(ROOT / "deploy" / f"{name}.toml")) is not None
+
+
+def test_run_switches_on_what_the_platform_allows_and_nothing_else():
+    """No talk among instances, no lasting disk, no pace that would have the board's news come late."""
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    named = dict(re.findall(r"export (CANVASPLANK_\w+)=(\S+?);", run))
+    assert named == {"CANVASPLANK_STARTING": "deploy/subset.toml"}
+    assert set(named) <= {entry.variable for entry in TABLE}
+    assert len(switched_on({name: str(ROOT / path) for name, path in named.items()})) == 1
+    starting = LOADS["starting"](str(ROOT / "deploy" / "subset.toml"))
+    assert starting == Starting(servers_per_proxy=starting.servers_per_proxy)
+    assert run.rpartition(";")[2].startswith(" exec "), "one process, which starts no program"
