--- a/canvasplank/fleet/pace.py
+++ b/canvasplank/fleet/pace.py
@@ -12,6 +12,7 @@
 STEADY_SPREAD = (0.85, 1.0)  # of the period between two renewals
 EAGER_PART = 0.2  # of it
 EAGER_MOST = 6  # eager pauses in a row: past them it is the others' to move
+EAGER_EACH_MS = 5.0  # what a store is given for each proxy where all of them are eager at once
 EACH_MS = 20.0  # what a store is given for each proxy, where all come back to it together
 DOUBLINGS_MOST = 10
 
@@ -34,7 +35,7 @@
         self._eager = self._eager + 1 if eager else 0
         steady_ms = self._renew_ms * self._rng.uniform(*STEADY_SPREAD)
         if 0 < self._eager <= EAGER_MOST:
-            eager_ms = max(self._renew_ms * EAGER_PART, EACH_MS * fleet)
+            eager_ms = max(self._renew_ms * EAGER_PART, EAGER_EACH_MS * fleet)
             return min(steady_ms, eager_ms * self._rng.uniform(0.5, 1.0))
         return steady_ms
 
