A server is let go only once no release is on its way there

Seen by reading: a proxy that leaves a server to others ended its connection with a release unsent (no connection was up) or unconfirmed; the server would have kept that call's line. Such a server is now kept until it has heard: releases that wait, and those of the last second that nobody confirmed, count like calls. A test holds it.

--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -169,6 +169,12 @@
         """The servers in the list, each with the start of its process."""
         return [(peer.server_id, peer.started_ms) for peer in self._peers.values()]
 
+    def owes(self, server_id: str) -> bool:
+        """Whether a release for this server has yet to be sent, or may yet have to be sent again."""
+        peer, recent_ms = self._peers.get(server_id), self.turns.now_ms - UNHEARD_MS
+        return peer is not None and (bool(peer.owed) or any(
+            sent_ms > recent_ms for stream in peer.streams for _, sent_ms in stream.unheard.values()))
+
     # -------------------------------------------------------------------------------- for the board
 
     def listed(self, complete: bool, instances: list[Instance]) -> None:
--- a/canvasplank/starting/part.py
+++ b/canvasplank/starting/part.py
@@ -47,7 +47,7 @@
         self._rng = random.Random(int(host.configuration.seed, 16))
         groups = (None if c.pools is None else frozenset(c.pools) for c in configured.classes)
         self._subset = Subset(host.configuration.name, groups,
-                              settings.servers_per_proxy, host.exchange.carries)
+                              settings.servers_per_proxy, self._carries)
         self._told_of = 0  # proxies, when the module last heard how many share a server
         if (polls_per_s := settings.polls_per_s) > 0:
             first_per_s = settings.first_per_s or polls_per_s
@@ -95,6 +95,10 @@
 
     # ------------------------------------------------------------------------------------
 
+    def _carries(self, server_id: str) -> bool:
+        """Guards a release that is still on its way to a server against the end of our connection to it."""
+        return self._host.exchange.carries(server_id) or self._host.servers.owes(server_id)
+
     def _fleet(self) -> int:
         return max(1, self._host.count_fleet() or self._instances)
 
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -13,6 +13,7 @@
 from conftest import Gateway, settings
 
 from canvasplank import interface as api
+from canvasplank.network.servers import Servers
 from canvasplank.settings import Instance, server_of
 from canvasplank.starting.part import Starting, StartingPart
 from canvasplank.starting.subset import Subset, choose, rank, shared_by
@@ -169,6 +170,26 @@
             assert sum(at >= 7000 for at in sent) > 1.5 * first, "it grows"
 
 
+@pytest.mark.parametrize(("owed", "unheard", "owes"), [
+    ({}, {}, False),
+    ({"call": 16}, {}, True),  # for a connection that is not up yet
+    ({}, {"call": (16, 9_500.0)}, True),  # sent half a second ago, and not confirmed
+    ({}, {"call": (16, 8_000.0)}, False),  # by a server that confirms none
+])
+def test_a_server_is_kept_while_a_release_is_on_its_way_there(owed, unheard, owes):
+    """It was let go with the release of its last call unsent, and would have kept that call's line."""
+    servers = Servers.__new__(Servers)
+    servers.turns = SimpleNamespace(now_ms=10_000.0)
+    servers._peers = {"s-0": SimpleNamespace(owed=owed, streams=[SimpleNamespace(unheard=unheard)])}
+    assert servers.owes("s-0") is owes and not servers.owes("s-1")
+    host = Fake(100)
+    host.servers.owes = servers.owes
+    start = StartingPart(host, Starting(servers_per_proxy=1))
+    start.narrowed(True, instances(1))
+    kept_on = {i.instance_id: i.lifecycle for i in start.narrowed(False, instances(9)[1:])}
+    assert (kept_on.get("s-0") == "draining") is owes, "eight better ones have come"
+
+
 class Fake:
     """A host with nothing behind it but what a start asks of it."""
 
@@ -177,7 +198,8 @@
         example["settings"]["instances"] = instances
         self.configuration = SimpleNamespace(settings=example["settings"], seed="1", name="proxy-0")
         self.exchange = SimpleNamespace(carries=lambda _: False)
-        self.board, self.servers = SimpleNamespace(), SimpleNamespace(processes=list)
+        self.board = SimpleNamespace()
+        self.servers = SimpleNamespace(processes=list, owes=lambda _: False)
         self.count_fleet, self.part_of_fleet = lambda: members, lambda: part
 
 
