--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -37,6 +37,13 @@
     return str(tmp_path / "experiment.toml")
 
 
+def played_table(tmp_path, text: str) -> list[dict]:
+    """The figures that the tool leaves of this experiment, in the folder ``to``."""
+    ran = CliRunner().invoke(cli, ["run", written(tmp_path, text), "--to", str(tmp_path / "to")])
+    assert ran.exit_code == 0, ran.output
+    return pyarrow.parquet.read_table(tmp_path / "to" / "figures.parquet").to_pylist()
+
+
 def value(figures: list[Figure], what: str) -> float | None:
     [found] = [figure.value for figure in figures if figure.what == what]
     return found
@@ -152,9 +159,7 @@
 
 
 def test_a_small_experiment_on_processes_and_simulated_leaves_tables_charts_and_a_summary(tmp_path):
-    ran = CliRunner().invoke(cli, ["run", written(tmp_path, SMALL), "--to", str(tmp_path / "to")])
-    assert ran.exit_code == 0, ran.output
-    table = pyarrow.parquet.read_table(tmp_path / "to" / "figures.parquet").to_pylist()
+    table = played_table(tmp_path, SMALL)
     assert {(row["way"], row["size"], row["variant"]) for row in table} == {
         (way, size, variant) for way, size in (("processes", 3), ("simulated", 30))
         for variant in ("as it is", "paced")}
@@ -189,9 +194,7 @@
 begin_per_s = 10.0
 servers_per_proxy = 2
 """
-    ran = CliRunner().invoke(cli, ["run", written(tmp_path, rush), "--to", str(tmp_path / "to")])
-    assert ran.exit_code == 0, ran.output
-    table = pyarrow.parquet.read_table(tmp_path / "to" / "figures.parquet").to_pylist()
+    table = played_table(tmp_path, rush)
     found = {row["what"]: row["value"] for row in table}
     assert 0.0 < found["load of a cold server, over what it bears, worst"] < 1.0
     assert found["connections at a server at the end, most"] < 24, "a subset"
@@ -225,9 +228,7 @@
 trace = true
 budget = [{name = "all", kind = "set-ups", whole_per_s = 60.0, kept_back = 0.2}]
 """
-    ran = CliRunner().invoke(cli, ["run", written(tmp_path, storm), "--to", str(tmp_path / "to")])
-    assert ran.exit_code == 0, ran.output
-    table = pyarrow.parquet.read_table(tmp_path / "to" / "figures.parquet").to_pylist()
+    table = played_table(tmp_path, storm)
     shared, window, spent = [row["value"] for row in table if row["what"].startswith("budget all: s")]
     assert 0.5 < shared <= 1.0 + 1e-9 and window <= 1.0 and spent > 0.1
 
