--- a/experiments/stage.py
+++ b/experiments/stage.py
@@ -47,6 +47,7 @@
         self.experiment, self.variant, self.size = experiment, variant, size
         self.fleet, self.board, self.servers = started, started.board, started.servers
         self.random = random.Random(seed)
+        self._names = [f"n{number}" for number in range(size)]
         self.callers = Callers(seed, pools=len(started.servers))
         self.proxies: dict[str, Proxy] = {}
         self.far = Link(self.board.address)  # to the board, for those that are cut off from it
@@ -56,7 +57,7 @@
         self._starts = 0
         self._store: PostgresqlStandIn | None = None
         self._links: dict[str, Link] = {}  # from each proxy to the store
-        self._beyond = self._drawn([f"n{n}" for n in range(size)], next(
+        self._beyond = self._drawn(self._names, next(
             (fault.part for fault in experiment.fault if fault.what == "proxies-cut-off"), 0.0))
         # Guards what is noted against hundreds of starts that keep the rig from its clock: it comes first.
         started.nice = PROXIES_NICE
@@ -159,17 +160,17 @@
                 return _call(self.far.cut), _call(self.far.heal)
             case "proxies-cut-off-store" | "proxies-deaf-store":
                 ways = ("back",) if fault.what == "proxies-deaf-store" else ()
-                drawn = self._drawn([f"n{n}" for n in range(self.size)], fault.part)
+                drawn = self._drawn(self._names, fault.part)
                 return _call(self._cut_off, drawn, ways), _call(self._reach_again, drawn)
             case "store-stalls":
                 return _set(self._store_faults, stalled=True), _set(self._store_faults, stalled=False)
             case "store-restarts":
                 return (lambda: self._store.restart(fault.for_s)), _call(list)
             case "proxies-frozen":
-                drawn = self._drawn([f"n{n}" for n in range(self.size)], fault.part)
+                drawn = self._drawn(self._names, fault.part)
                 return _call(self._each, drawn, Proxy.freeze), _call(self._each, drawn, Proxy.wake)
             case "proxies-killed":
-                drawn = self._drawn([f"n{n}" for n in range(self.size)], fault.part)
+                drawn = self._drawn(self._names, fault.part)
                 return (lambda: self._kill(drawn)), (lambda: self._revive(drawn))
             case "servers-silent":
                 drawn = self._drawn([server.name for server in self.servers], fault.part)
