A notice board that has moved is asked again while it tells nothing, whatever the last one named

Cause: after SIGHUP a watch at the new address that was taken and then only commented stayed for good (Board._look goes by silence alone), while its news counts as told 4 s after the move. And a retry that waited for the old address (up to the minute that its Retry-After named, where a pace is on) kept the new one from being tried again: Backoff.then ignores a second wait. Change: until its first event a moved board is asked again after 2.6 to 3.5 s, then after doubling times up to a minute, with one watch at a time; a move drops the pending wait. A watch that is accepted and silent was already left after 1.5 s.

--- a/canvasplank/network/board.py
+++ b/canvasplank/network/board.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 import re
 from collections.abc import Callable
 from typing import Protocol
@@ -21,6 +22,10 @@
 CONNECT_MS = 1000.0
 SILENCE_MS = 1500.0  # a comment is due every second; what a silent board holds back is not known here
 LOOK_MS = 100.0
+# What a board has to tell counts as told 4 s after it moved, and 7 s after it came.  Where one that has moved
+# is up and has told no event yet, it is asked again after so long, then after doubling times.
+UNTOLD_MS, UNTOLD_MOST_MS = 3500.0, 60_000.0
+UNTOLD_SPREAD = (0.75, 1.0)  # of that, drawn each time: proxies that moved in one instant ask apart
 BACKOFF_MS, BACKOFF_MOST_MS = 50.0, 800.0
 EVENT_ID = re.compile(r"[0-9]{1,18}")
 READS_MOST = 3  # of one event that cannot be read; it may have come torn
@@ -37,6 +42,7 @@
     def connected(self) -> None:
         """Ask for what is new."""
         self.made_ms = self.turns.now_ms
+        self._board.watches()
         self.write(sse.request(PATH, self._board.address, self._board.last_id))
 
     def received(self, data: memoryview) -> None:
@@ -70,9 +76,10 @@
     """Follows the notice board from the last event known."""
 
     def __init__(self, turns: Turns, address: str, last_id: int, told: Callable[[Notice], None],
-                 held: Held) -> None:
+                 held: Held, rng: random.Random | None = None) -> None:
         self.turns = turns
         self.held = held
+        self._rng = rng or random.Random()
         self.address = address
         self.last_id = last_id
         self._told = told
@@ -80,6 +87,8 @@
         self._connecting: Connecting | None = None
         self._backoff = Backoff(turns, BACKOFF_MS, BACKOFF_MOST_MS)
         self.pace: Pace | None = None  # None: by the doubling waits alone
+        self._untold_ms: float | None = None  # after a move and until the first event: the next such time
+        self._asks_ms = float("inf")  # when the watch is given up for another
         self._unread = 0  # times in a row that the next event could not be read
 
     @property
@@ -121,7 +130,8 @@
             self._connecting.cancel()
         if stream is not None and stream.is_open:
             stream.transport.abort()
-        self._backoff.succeeded()
+        self._backoff.reset()
+        self._untold_ms = UNTOLD_MS
         self._connect_first()
 
     def _connect(self) -> None:
@@ -150,6 +160,15 @@
         if self.turns.now_ms - stream.made_ms > BACKOFF_MOST_MS:
             self._backoff.succeeded()
 
+    def watches(self) -> None:
+        """A watch is up; guards against one where the board has moved to that was taken and then forgotten.
+
+        One that has told an event is known to be well: asking that again would only be load.
+        """
+        if self._untold_ms is not None:
+            self._asks_ms = self.turns.now_ms + self._untold_ms * self._rng.uniform(*UNTOLD_SPREAD)
+            self._untold_ms = min(UNTOLD_MOST_MS, 2 * self._untold_ms)
+
     def event(self, event: sse.Event) -> None:
         """One event; what was told before a break is not taken twice."""
         if not EVENT_ID.fullmatch(event.id):
@@ -168,6 +187,7 @@
             notice = None
         self._unread = 0
         self._backoff.succeeded()
+        self._untold_ms, self._asks_ms = None, float("inf")
         if self.pace is not None:
             self.pace.well()
         self.last_id = number
@@ -181,4 +201,8 @@
             LOG.info("notice board: silent, connecting again")
             stream.transport.abort()
             self.left(stream)
+        elif stream is not None and stream.is_open and self.turns.now_ms >= self._asks_ms:
+            stream.transport.abort()
+            self._stream = None
+            self._connect()
         self.turns.after(LOOK_MS, self._look)
--- a/canvasplank/network/connecting.py
+++ b/canvasplank/network/connecting.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import Callable
 
-from canvasplank.deadlines import Turns
+from canvasplank.deadlines import Deadline, Turns
 from canvasplank.network.stream import Stream
 from canvasplank.settings import split_address
 
@@ -75,7 +75,7 @@
         self._turns = turns
         self._first_ms, self._most_ms = first_ms, most_ms
         self._next_ms = first_ms
-        self._waiting = False
+        self._waiting: Deadline | None = None
         self.failures = 0  # since the last success: the first is worth a line to the operators
 
     def succeeded(self) -> None:
@@ -83,16 +83,21 @@
         self._next_ms = self._first_ms
         self.failures = 0
 
+    def reset(self) -> None:
+        """Begin anew with another peer: guards it against a wait that was meant for the last one."""
+        self._turns.deadlines.discard(self._waiting)
+        self._waiting = None
+        self.succeeded()
+
     def then(self, action: Callable[[], None], wait_ms: float | None = None) -> None:
         """Do it after the next wait, or this one; while one is under way, asking again changes nothing."""
-        if self._waiting:
+        if self._waiting is not None:
             return
-        self._waiting = True
         self.failures += 1
 
         def come_due() -> None:
-            self._waiting = False
+            self._waiting = None
             action()
 
-        self._turns.after(self._next_ms if wait_ms is None else wait_ms, come_due)
+        self._waiting = self._turns.after(self._next_ms if wait_ms is None else wait_ms, come_due)
         self._next_ms = min(self._most_ms, 2 * self._next_ms)
