Servers: the time left is told as it is sent, a restart's news goes to the new process

Checked, nothing found: a set-up waiting for a late connection while the server drains, is gone, or the caller gives up; a second answer, late, before and after the call's end (records of these now stand). Left: an answer to an earlier attempt at the same server while the call is out there again cannot be told apart, since servers count each set-up as their first.

--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -9,7 +9,7 @@
 import logging
 import re
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from canvasplank import interface as api
 from canvasplank.codecs import sip
@@ -21,7 +21,9 @@
 
 LOG = logging.getLogger(__name__)
 BACKOFF_MS, BACKOFF_MOST_MS = 50.0, 800.0
-QUIET_MS = 2500.0  # a server tells its lines every second; one that says nothing for so long may be cut off
+QUIET_MS = 2500.0  # a server that tells its lines and has said nothing for so long may be cut off
+QUIET_MOST_MS = 20_000.0  # or for so long, where it tells them less often
+UNTIMED_TELLINGS = 2  # the first on a connection, which say nothing of how often they come
 UNREACHABLE_MS = 7000.0  # no word and no connection for so long: a call that is over is released within 8 s
 FIRST_RESEND_MS = 500.0  # where the settings name none
 CUT_SHORT_SHARE = 0.25  # of it: a message that is not whole so long after it began never will be
@@ -57,11 +59,20 @@
     current: ServerStream | None = None  # where the next message goes; it may still be connecting
     heard_ms: float = 0.0  # when it last said anything, or a connection came up
     tells: bool = False  # it has told the state of its lines
+    quiet_ms: float = QUIET_MS  # so long it may say nothing
     streams: list[ServerStream] = field(default_factory=list)  # all that are up
     owed: dict[str, int] = field(default_factory=dict)  # causes of releases for the next connection
     opens_ms: float = 0.0  # no sooner is its first connection made, unless a set-up wants it
 
 
+class WaitingSetUp(NamedTuple):
+    """A set-up for a connection that is just coming up."""
+
+    call: CallRecord
+    attempt: int
+    until_ms: float  # its attempt ends
+
+
 class Opening(Protocol):
     """How one of many proxies comes to its servers, where a file says so (``starting``)."""
 
@@ -88,7 +99,9 @@
         self.peer = peer
         self.address = peer.address
         self.open: dict[str, int] = {}  # set-ups sent here and not ended, with the numbers of their attempts
-        self.waiting: dict[str, tuple[int, bytes, str]] = {}  # set-ups for when it is up, with their classes
+        self.waiting: dict[str, WaitingSetUp] = {}  # for when it is up
+        self.told_ms = -1.0  # when the state of the lines was last told here
+        self.tellings = 0  # and how often
         self.unheard: dict[str, tuple[int, float]] = {}  # releases sent here and not confirmed: cause, time
         self.standing: set[str] = set()  # calls set up here that stand: the server releases them here
         self.replaced_ms = -1.0  # when another took its place
@@ -105,7 +118,19 @@
         """Read what it says."""
         self.peer.heard_ms = self.turns.now_ms
         for message in self.messages(data):
-            self.servers.take(self, message)
+            if not self.servers.parting:
+                self.servers.take(self, message)
+
+    def told(self) -> None:
+        """The state of the lines was told; where that is often, silence is found soon.
+
+        The first comes with the connection, the second at any time after it: they say nothing of that.
+        """
+        self.peer.tells = True
+        self.tellings += 1
+        if self.tellings > UNTIMED_TELLINGS and self.turns.now_ms - self.told_ms < QUIET_MS:
+            self.peer.quiet_ms = QUIET_MS
+        self.told_ms = self.turns.now_ms
 
     def is_cut_short(self, limit_ms: float) -> bool:
         """Whether the rest of a message is overdue: all that follows would be taken for it."""
@@ -149,7 +174,7 @@
         self._probes: dict[str, str] = {}
         self._probe_count = 0
         self.opening: Opening | None = None  # None: all servers, all at once
-        self._parting = False  # the program ends
+        self.parting = False  # the program ends
         self._resend_ms = resend_ms or FIRST_RESEND_MS
         self.turns.after(LOOK_SHARE * self._resend_ms, self._look)
 
@@ -160,10 +185,13 @@
         return len(listed), len(avoided)
 
     def part(self) -> None:
-        """The program ends: hear no more, so that no release is confirmed that can not be passed on."""
-        self._parting = True
+        """The program ends: heed no more, so that no release is confirmed that can not be passed on.
+
+        What was said last is on its way, and is read on over: guards it against a reset of ours.
+        """
+        self.parting = True
         for stream in [s for peer in self._peers.values() for s in peer.streams]:
-            stream.transport.abort()
+            stream.finish()
 
     def processes(self) -> list[tuple[str, float | None]]:
         """The servers in the list, each with the start of its process."""
@@ -226,6 +254,9 @@
         elif entry.host_port != peer.address:
             peer.address = entry.host_port
             self._leave(peer)
+        elif server.started_ms != peer.started_ms and peer.current in self._dead(peer, server.started_ms):
+            # Guards what the module sends on this very news against the old process's half-open connection.
+            peer.current = None
         if server.state is api.ServerState.READY:
             peer.state = server.state
         self._connect(peer)
@@ -248,9 +279,12 @@
 
     def _restarted(self, peer: Peer) -> None:
         """A fresh process under the same name: what the old one held is over, its connections are dead."""
-        started_ms = peer.started_ms or self.turns.now_ms
-        self._drop([s for s in peer.streams if s.made_ms < started_ms])
-        self.exchange.process_over(peer.server_id, started_ms)
+        self._drop(self._dead(peer, peer.started_ms))
+        self.exchange.process_over(peer.server_id, peer.started_ms or self.turns.now_ms)
+
+    def _dead(self, peer: Peer, started_ms: float | None) -> list[ServerStream]:
+        """Connections to a process before the one that started then, or now where that is not told."""
+        return [s for s in peer.streams if s.made_ms < (started_ms or self.turns.now_ms)]
 
     def _leave(self, peer: Peer) -> None:
         """Its address has changed: what is open stays, what comes goes to the new one."""
@@ -285,9 +319,9 @@
         """Nothing new may reach it, not even what waits for a connection or lies unsent in one (rule 3)."""
         streams = [*peer.streams, peer.current] if peer.current not in peer.streams else peer.streams
         for stream in [s for s in streams if s is not None]:
-            for call_id, (attempt, *_) in list(stream.waiting.items()):
+            for call_id, waiting in list(stream.waiting.items()):
                 del stream.waiting[call_id]
-                self.exchange.ended(peer.server_id, call_id, attempt, api.Outcome.NO_CONNECTION)
+                self.exchange.ended(peer.server_id, call_id, waiting.attempt, api.Outcome.NO_CONNECTION)
             if stream.open and stream.unsent:
                 stream.transport.abort()
 
@@ -299,24 +333,26 @@
         if peer is None or peer.state is not api.ServerState.READY:
             self.exchange.ended(server_id, call.id, attempt, api.Outcome.NO_CONNECTION)
             return
-        headers = {"X-Tier": call.class_name, "X-Deadline": str(max(1, round(wait_ms)))}
-        data = sip.request("INVITE", call.number, call.id, attempt + 1, headers, call.description)
         self._connect(peer, wanted=True)
-        stream = peer.current
+        stream, waiting = peer.current, WaitingSetUp(call, attempt, self.turns.now_ms + wait_ms)
         if stream.is_open:
-            self._invite(stream, call.id, attempt, data, call.class_name)
+            self._invite(stream, waiting)
         else:
-            stream.waiting[call.id] = attempt, data, call.class_name
+            stream.waiting[call.id] = waiting
 
-    def _invite(self, stream: ServerStream, call_id: str, attempt: int, data: bytes, class_name: str) -> None:
+    def _invite(self, stream: ServerStream, waiting: WaitingSetUp) -> None:
+        call, attempt = waiting.call, waiting.attempt
         for each in stream.peer.streams:
             # Guards against ending the call by the release of an earlier attempt here, sent once more.
-            each.unheard.pop(call_id, None)
+            each.unheard.pop(call.id, None)
         if stream.asked_ms <= stream.heard_ms:
             stream.asked_ms = self.turns.now_ms
-        stream.open[call_id] = attempt
-        stream.write(data)
-        self.exchange.counters.by_class("attempts", class_name)
+        stream.open[call.id] = attempt
+        # What is left now: guards a server against working on for as long as its connection took to come up.
+        left_ms = max(1, round(waiting.until_ms - self.turns.now_ms))
+        headers = {"X-Tier": call.class_name, "X-Deadline": str(left_ms)}
+        stream.write(sip.request("INVITE", call.number, call.id, attempt + 1, headers, call.description))
+        self.exchange.counters.by_class("attempts", call.class_name)
 
     def cancel(self, server_id: str, call_id: str) -> None:
         """See ``ServerSide``: on the connection of the set-up, or not at all where it was never sent."""
@@ -372,7 +408,7 @@
 
         Guards a server against a connection from each of hundreds of proxies that start at once.
         """
-        if self._parting or (self.turns.now_ms < peer.opens_ms and not wanted):
+        if self.parting or (self.turns.now_ms < peer.opens_ms and not wanted):
             return
         current = peer.current
         if current is not None and (current.is_open or current.connecting is not None):
@@ -393,8 +429,8 @@
         owed, peer.owed = peer.owed, {}
         for call_id, cause in owed.items():
             self._bye(stream, call_id, cause)
-        for call_id, (attempt, data, class_name) in stream.waiting.items():
-            self._invite(stream, call_id, attempt, data, class_name)
+        for waiting in stream.waiting.values():
+            self._invite(stream, waiting)
         stream.waiting.clear()
         self._retire(peer)
 
@@ -408,9 +444,9 @@
         if peer.backoff.failures == 0:
             LOG.info("%s: no connection: %s", stream.label, why)
         self.exchange.counters.add("sockets.servers_failed")
-        waiting, stream.waiting = stream.waiting, {}
-        for call_id, (attempt, *_) in waiting.items():
-            self.exchange.ended(peer.server_id, call_id, attempt, api.Outcome.NO_CONNECTION)
+        unsent, stream.waiting = stream.waiting, {}
+        for call_id, waiting in unsent.items():
+            self.exchange.ended(peer.server_id, call_id, waiting.attempt, api.Outcome.NO_CONNECTION)
         self._keep_up(peer)
 
     def left(self, stream: ServerStream) -> None:
@@ -451,10 +487,12 @@
             current = peer.current
             # One that hangs says nothing of its server.  Guards against trying a server that is well on the
             # connection that hung, over and over, and leaving it out for seconds.
-            if current is not None and current.is_open and (
-                current.is_hung(self._resend_ms)
-                or (self._expected(current) and now_ms - current.heard_ms > QUIET_MS)
-            ):
+            quiet = (current is not None and self._expected(current)
+                     and now_ms - current.heard_ms > peer.quiet_ms)
+            if quiet and not current.open:
+                # Guards one that tells its lines less often against a new connection every time.
+                peer.quiet_ms = min(QUIET_MOST_MS, 2 * peer.quiet_ms)
+            if quiet or (current is not None and current.is_open and current.is_hung(self._resend_ms)):
                 self.exchange.counters.add("sockets.servers_quiet")
                 peer.current, current.replaced_ms = None, now_ms
                 self._owe_again(current)
@@ -523,7 +561,7 @@
                     report = self._gauges.report(_figures(message))
                     self.exchange.released(stream.peer.server_id, message.call_id, cause, report)
             case "NOTIFY":
-                stream.peer.tells = True
+                stream.told()
                 if (lines := self._gauges.lines(_figures(message))) is not None:
                     self.exchange.lines_told(stream.peer.server_id, *lines)
             case "OPTIONS":
--- a/tests/player.py
+++ b/tests/player.py
@@ -5,10 +5,12 @@
 
     known a ready            a call server that listens and is in the list at the start; pools count from 0
     known b refused|never    one whose address refuses connections, or whose connections never come up
+    server b comes_up        now they do; the machine that connects tries again after a second
     settings JSON            what the settings say otherwise, key by key, from the next start on
     start                    run the program; server a accepts the connection that is kept up to it
     caller 1 sends BYTES     connects where it is not connected yet
     caller 1 gets BYTES      the next bytes, exactly these
+    caller 1 hears BYTES     the next bytes but for progress, which is free and means nothing
     caller 1 silent MS       nothing comes for so long
     caller 1 later MS BYTES  the next bytes, no sooner than so long, less SLACK_MS, after the last that
                              anybody sent or closed
@@ -19,6 +21,7 @@
     board tells N a STATE STARTED   event N: server a is ready, draining or gone, and when it started
     board adds N b           event N: server b is new, and listens
     board moves              its address is another from now on, and the configuration file says so
+    wait MS                  nobody does anything
     program signalled NAME / exits STATUS / prints REGEX
     program configured TEXT  the configuration file is replaced by this
 """
@@ -44,6 +47,7 @@
 # than what its later looks bring: on a starved machine a 504 was read 4 to 8 ms after its turn had begun.
 SLACK_MS = 50.0
 WAIT_S = 20.0  # for anything that is expected; a slow machine only takes longer
+PROGRESS = re.compile(rb"\x00\x09\x06.{8}", re.DOTALL)
 SETTINGS = {
     "instances": 1,
     "tick_ms": 1.0,
@@ -101,6 +105,16 @@
             filler.connect_ex(self.listener.getsockname())
             self.fillers.append(filler)
 
+    def comes_up(self, _: str = "") -> None:
+        """Take what waits in the queue, until the connection that is not one of ours comes through."""
+        ours = {filler.getsockname() for filler in self.fillers}
+        self.listener.listen(16)
+        self.listener.settimeout(WAIT_S)
+        while self.stream is None:
+            stream, address = self.listener.accept()
+            if address not in ours:
+                self.stream = stream
+
     def sends(self, text: str) -> None:
         Party.acted_s = time.monotonic()
         self.stream.sendall(literal(text))
@@ -117,6 +131,18 @@
             self.came += more
         self.came = self.came[match.end():]
 
+    def hears(self, text: str) -> None:
+        wanted, until = pattern(text), time.monotonic() + WAIT_S
+        while PROGRESS.match(self.came) or not wanted.match(self.came):
+            if progress := PROGRESS.match(self.came):
+                self.came = self.came[progress.end():]
+                continue
+            self.stream.settimeout(max(0.01, until - time.monotonic()))
+            more = self.stream.recv(65536)
+            assert more, f"wanted {text!r}, came {self.came!r} and the end"
+            self.came += more
+        self.came = self.came[wanted.match(self.came).end():]
+
     def later(self, text: str) -> None:
         after_ms, wanted = text.split(" ", 1)
         self.gets(wanted)
@@ -239,6 +265,8 @@
                     self.settings = self.settings | {key: old | value if isinstance(old, dict) else value}
             case ["start"]:
                 self.start()
+            case ["wait", span_ms]:
+                time.sleep(float(span_ms) / 1000)
             case ["caller", number, verb, *rest]:
                 getattr(self.caller(number), verb)(*rest)
             case ["server", other, "was", name]:
