Shutdown and closes lose no request, answer, release or signal; who has left is not sent on

Progress, which the protocol calls free, is written to it at once and every 100 ms: the machine of one that left resets, and the next write ends the call after 0.1 to 0.2 s; one that reads gets its answer. Taking every end of stream for leaving was not taken: a half-closed caller would lose its answer. - Connections closed as idle, for room or on quiesce with bytes unread were reset by the kernel, and a release there was lost (Stream.close). They are ended for writing and read on; a set-up that crosses is left to its caller, who sends it again. A listener of our own takes whoever is there, then closes; the end waits a look for what they wrote. - A set-up taken while the last bytes left was never answered (_flush did not look at open calls again). - A second SIGTERM or SIGHUP after the loop had closed ended the process by its default action; so did SIGHUP during the imports, and one between reading the file and the handlers was ignored and its move lost. Signals are held from the first line until they can be heeded, and again at the end. - A program told to stop while its parts start opened its listener after its end. - An answer in the very turn in which its caller's connection ends was written to nobody and the call stood at its server: it is taken back.

--- a/canvasplank/__main__.py
+++ b/canvasplank/__main__.py
@@ -4,7 +4,7 @@
 
 import sys
 
-from canvasplank.program import serve
+from canvasplank import signals
 
 
 def main() -> int:
@@ -13,6 +13,10 @@
         from canvasplank.cli import cli
 
         cli(prog_name="canvasplank")
+    # Before the long imports: guards a start against SIGHUP, whose default action ends a process.
+    signals.hold()
+    from canvasplank.program import serve
+
     return serve()
 
 
--- a/canvasplank/codecs/isup.py
+++ b/canvasplank/codecs/isup.py
@@ -157,6 +157,11 @@
     return encode(Message(Kind.RELEASE_HEARD, call_id))
 
 
+def progress(call_id: str) -> bytes:
+    """The call is being worked on: free, and means nothing."""
+    return encode(Message(Kind.PROGRESS, call_id))
+
+
 def test_result(call_id: str, passed: bool) -> bytes:
     """What a test gave."""
     return encode(Message(Kind.TEST_RESULT, call_id, {Parameter.CAUSE: bytes([passed])}))
--- a/canvasplank/exchange.py
+++ b/canvasplank/exchange.py
@@ -38,6 +38,9 @@
 class CallerSide(Protocol):
     """What the exchange asks of the callers' component; ``origin`` is whatever that component gave."""
 
+    def is_reachable(self, origin: Hashable) -> bool:
+        """Whether an answer can still be written there."""
+
     def answer(self, origin: Hashable, call_id: str, description: bytes) -> None:
         """Tell that the call stands."""
 
@@ -252,6 +255,11 @@
     def established(self, server_id: str, call_id: str, attempt: int | None, description: bytes) -> None:
         """A server answered a set-up; an answer that nobody waits for is taken back there."""
         call = self._open.get(call_id)
+        if (call is not None and self._is_out(call, server_id, attempt)
+                and not self.callers.is_reachable(call.origin)):
+            # Guards against a call that stands for nobody: its caller's connection ends in this very turn.
+            self._caller_gone(call)
+            call = None
         if call is None or not self._is_out(call, server_id, attempt) or not call.owed:
             stands = self._standing.get(call_id)
             if stands is None or stands.stands_at != server_id:
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
-import os
 import re
-import socket
 from collections.abc import Callable, Hashable
 
 from canvasplank.codecs import isup
 from canvasplank.codecs.errors import BadMessageError
 from canvasplank.exchange import CallRecord, Exchange, Final
+from canvasplank.network.listening import Listener
 from canvasplank.network.stream import Held, Stream
 from canvasplank.settings import Figures
 
@@ -29,7 +27,6 @@
 DESCRIPTION_MOST = 15 * 1024  # with the server side's headers it still is one message
 YOUNG_MS = 500.0  # a connection that has asked nothing may yet be about to
 SILENT_MS = 2000.0  # a connection that says nothing whole for so long after its start, or a message begun
-BACKLOG = 512
 OWED_MOST = 20_000  # releases kept while no caller is connected
 SHARE_OF_SOCKETS = 0.6  # the most that callers may hold, so that servers, board and files find room
 ACCEPTED_SHARE = 0.1  # of those, the most that are accepted in one go
@@ -37,6 +34,7 @@
 OWED_MS = 500.0  # a release waits so long for a connection of callers' own, then any will do
 UNHEARD_MS = 1000.0  # a release this old has been read, whether or not the caller says so
 UNHEARD_MOST = 1000
+HALF_CLOSED_LOOK_MS = 100.0  # who has left is found after two of these: a call is not sent on 0.3 s later
 QUIESCED_IDLE_MS = 200.0  # while quiesced, a connection unused for so long is closed: new ones come for 0.2 s
 
 
@@ -76,10 +74,21 @@
     def eof_received(self) -> bool:
         """The caller sends no more; what it is owed can still be written."""
         self.half_closed = True
-        # It may have ended altogether, and nothing more tells so: the socket is not read any more.
-        self._callers.release_again(self)
+        self._callers.release_again(self)  # it may have ended altogether
+        self._prove_read()
         return bool(self.open)
 
+    def _prove_read(self) -> None:
+        """Find out whether a caller that sends no more still reads, as long as it is owed an answer.
+
+        Its end of stream is the same for one that has closed its connection, and the socket is not watched
+        any more.  Progress means nothing to a caller that reads; the machine of one that has left resets the
+        connection, which the next write meets.  Guards servers against set-ups that nobody waits for.
+        """
+        if self.open and self.is_open:
+            self.write(isup.progress(next(iter(self.open))))
+            self.turns.after(HALF_CLOSED_LOOK_MS, self._prove_read)
+
     def ended(self, error: Exception | None) -> None:
         """Its unanswered set-ups have nobody left to answer."""
         self._callers.left(self)
@@ -108,8 +117,8 @@
 
     def leave_if_quiesced(self) -> None:
         """While the operators send callers away, a connection goes once it carries nothing."""
-        if self._callers.quiesced and self.carries_nothing and self.is_open:
-            self.close()
+        if self._callers.quiesced and self.carries_nothing:
+            self.finish()
 
 
 class Callers:
@@ -122,38 +131,33 @@
         self._figures = figures
         self.streams: dict[CallerStream, None] = {}  # in the order of their coming
         self.accepting = True
-        self.parting = False  # connections are ending: a set-up that crosses that is sent again elsewhere
         self.quiesced = False  # the operators send callers away: connections go as soon as nothing is open
         self.able: Callable[[], bool] = lambda: True  # whether a call could be served at all
         self._owed: dict[str, int] = {}  # releases that wait for a connection, with their causes
+        self._listener: Listener | None = None
         self.limit(sockets)
         self._idle_ms = idle_ms
-        self._server: asyncio.Server | None = None
 
-    async def listen(self, host: str, port: int) -> None:
+    def listen(self, host: str, port: int) -> None:
         """Open the listener, on this address only.
 
-        As its backlog asyncio also takes the number that it accepts in one go, before any is told us.  Guards
-        against a crowd that takes every descriptor so; the listener then stands still for a second.  The port
-        is shared (``SO_REUSEPORT``): a new version listens beside this one while it is still serving.
+        It takes few connections in one go, so that room is made meanwhile: guards against a crowd that takes
+        every descriptor; the listener then stands still for a second.
         """
-        loop = asyncio.get_running_loop()
-        at_once = max(1, int(self._most * ACCEPTED_SHARE))
-        self._server = await loop.create_server(lambda: CallerStream(self), host, port, backlog=at_once,
-                                                reuse_port=True)
-        for listener in self._server.sockets:  # the machine's own queue is to be longer
-            with socket.socket(fileno=os.dup(listener.fileno())) as same:
-                same.listen(BACKLOG)
+        self._listener = Listener(self.exchange.turns, host, port, self._at_once, lambda: CallerStream(self))
         self._look_for_idle()
 
     def limit(self, sockets: int) -> None:
         """Hold no more connections than the configuration has room for."""
         self._most = max(1, int(sockets * SHARE_OF_SOCKETS))
+        self._at_once = max(1, int(self._most * ACCEPTED_SHARE))
+        if self._listener is not None:
+            self._listener.at_once = self._at_once
 
     def stop_listening(self) -> None:
-        """Take no further connections."""
-        if self._server is not None:
-            self._server.close()
+        """Take no further connections but those that the machine has let in already."""
+        if self._listener is not None:
+            self._listener.close()
 
     def part(self) -> None:
         """The program ends, nothing is owed: end every connection, and read on for what crosses that.
@@ -161,7 +165,6 @@
         Guards against a set-up that is written to a connection which nobody reads any more while the process
         winds down, and which is then closed on without an answer: found on an upgrade day.
         """
-        self.parting = True
         for stream in list(self.streams):
             stream.finish()
 
@@ -186,6 +189,10 @@
 
     # -------------------------------------------------------------------------------- for the exchange
 
+    def is_reachable(self, origin: Hashable) -> bool:
+        """See ``CallerSide``."""
+        return origin.is_open
+
     def answer(self, origin: Hashable, call_id: str, description: bytes) -> None:
         """See ``CallerSide``."""
         origin.standing.add(call_id)
@@ -260,8 +267,8 @@
             stream.calls = True
             self._pay(stream)
         match message.kind:
-            case isup.Kind.SET_UP if self.parting:
-                pass  # its caller sends it again on a new connection: two of it must not go out
+            case isup.Kind.SET_UP if stream.finishing:
+                pass  # it crossed our end: its caller sends it again on a new connection
             case isup.Kind.SET_UP:
                 self._set_up(stream, message)
             case isup.Kind.RELEASE:
@@ -341,6 +348,9 @@
         """
         held = [s for s in self.streams if s.is_open]
         over = len(held) - self._most
+        past = max(0, len(self.streams) - self._most - self._at_once)
+        for stream in [s for s in self.streams if s.finishing][:past]:
+            stream.transport.abort()  # guards the descriptors against those who do not hear our end
         if over <= 0:
             return
         newest = held.pop()
@@ -349,7 +359,7 @@
         idle.sort(key=lambda s: (s.asked or s.used_ms > young_ms, s.used_ms))
         for stream in (idle or [newest])[:over]:
             self.exchange.counters.add("sockets.callers_closed_for_room")
-            stream.close()
+            stream.finish()
 
     def _look_for_idle(self) -> None:
         """Guards against connections kept for nothing: long unused, or silent where a message is due."""
@@ -362,7 +372,7 @@
             if stream.owes_message:
                 stream.end_spoilt(f"nothing whole for {SILENT_MS:.0f} ms")
             elif unused(stream) and now_ms - stream.used_ms > idle_ms:
-                stream.close()
+                stream.finish()
         self.exchange.turns.after(IDLE_LOOK_MS, self._look_for_idle)
 
 
--- a/canvasplank/network/stream.py
+++ b/canvasplank/network/stream.py
@@ -219,8 +219,8 @@
             self.transport.pause_reading()
 
     def resume_writing(self) -> None:
-        """The peer reads again."""
-        if self.is_open:
+        """The peer reads again; so does a connection that is only read any more, until its end."""
+        if not self.transport.is_closing():
             self.transport.resume_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/canvasplank/program.py
+++ b/canvasplank/program.py
@@ -7,11 +7,12 @@
 import gc
 import logging
 import os
+import random
 import signal
 import sys
 from collections.abc import Callable
 
-from canvasplank import events
+from canvasplank import events, signals
 from canvasplank import interface as api
 from canvasplank.admin import Admin
 from canvasplank.counters import Counters
@@ -72,7 +73,7 @@
         self.servers = Servers(self.exchange, ceilings, settings.resend_ms, self._held, gauges)
         self.exchange.servers = self.servers
         self.board = Board(self.turns, configuration.board, configuration.known.rev, self._notice,
-                            self._held)
+                            self._held, random.Random(int(configuration.seed, 16)))
         longest_ms = min(LONGEST_MS, max(c.deadline_ms for c in settings.classes))
         self._leave_ms = longest_ms + SERVE_ON_MS - LEAVE_EARLY_MS
         self._closing_ms = 0.0
@@ -91,15 +92,17 @@
         loop.add_signal_handler(signal.SIGINT, self._terminate)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        signals.heed()
         self.turns.begin()
         self.servers.listed(True, folded(self.configuration.known.notices))
         for part in self._parts:
             await part.start()
         self.board.start()
-        await self._callers.listen(*split_address(self.configuration.listen))
-        self._listening = True
-        LOG.info("%s listens on %s", self.configuration.name, self.configuration.listen)
-        if self.configuration.admin:
+        if not self.exchange.closing:
+            self._callers.listen(*split_address(self.configuration.listen))
+            self._listening = True
+            LOG.info("%s listens on %s", self.configuration.name, self.configuration.listen)
+        if self.configuration.admin and not self.exchange.closing:
             await self._admin.listen(self.configuration.admin)
             LOG.info("the operators' address is %s", self.configuration.admin)
         await self._done.wait()
@@ -183,20 +186,25 @@
         self.turns.begin()
         self.exchange.closing = True
         self._closing_ms = self.turns.now_ms
-        self.turns.after(SERVE_ON_MS, self._wind_up)
+        self.turns.after(SERVE_ON_MS, self._stop_listening)
 
-    def _wind_up(self) -> None:
+    def _stop_listening(self) -> None:
+        """Take no new connection; what lay at the listener is read before anything is ended."""
         self._callers.stop_listening()
-        if self.turns.now_ms - self._closing_ms >= self._leave_ms:
-            self.exchange.fail_all()
-        if self.exchange.open_calls:
-            self.turns.after(LOOK_MS, self._wind_up)
-        else:
-            self._flush(self.turns.now_ms + FLUSH_MS)
+        self.turns.after(LOOK_MS, self._answer_the_rest)
+
+    def _answer_the_rest(self, since_ms: float | None = None) -> None:
+        """Until all is answered and written; ``since_ms``: since when nothing is open.
 
-    def _flush(self, until_ms: float) -> None:
-        if self._callers.unsent() and self.turns.now_ms < until_ms:
-            self.turns.after(LOOK_MS, lambda: self._flush(until_ms))
+        Asked anew each time: guards a set-up that comes while the last bytes leave against being taken and
+        then left without an answer.
+        """
+        now_ms = self.turns.now_ms
+        if now_ms - self._closing_ms >= self._leave_ms:
+            self.exchange.fail_all()
+        since_ms = None if self.exchange.open_calls else since_ms or now_ms
+        if since_ms is None or (self._callers.unsent() and now_ms < since_ms + FLUSH_MS):
+            self.turns.after(LOOK_MS, lambda: self._answer_the_rest(since_ms))
         else:
             self._part()
 
@@ -215,7 +223,7 @@
 
 def serve() -> int:
     """Run by the environment's configuration; a fault in it is one line on standard error."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
+    signals.hold()
     try:
         events.begin(os.environ.get("CANVASPLANK_LOG", "human"))
         switched = switched_on(os.environ)
@@ -251,3 +259,4 @@
     with contextlib.suppress(asyncio.CancelledError):
         await program.run()
     program.print_counters()
+    signals.hold()  # guards the exit status against one that comes now
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -79,7 +79,7 @@
 PACKAGE_NAME = "canvasplank"
 # From the bottom up: a module imports only what stands before it.
 LAYERS = [
-    "interface", "events", "codecs.errors", "codecs.isup", "codecs.sip", "codecs.sse", "counters",
+    "signals", "interface", "events", "codecs.errors", "codecs.isup", "codecs.sip", "codecs.sse", "counters",
     "deadlines", "closing", "background", "engine.errors", "engine.where", "engine.migrations",
     "engine.sqlite", "engine.postgresql", "fleet.rows", "fleet.division", "fleet.ledger", "fleet.holder",
     "fleet.watch", "fleet.spending", "fleet.pace", "learning.view", "learning.merge", "policy", "settings",
@@ -87,7 +87,8 @@
     "membership.roster", "membership.keeper", "membership.config", "wirehost", "exchange", "store.records",
     "store.outbox",
     "store.schema", "store.backend", "store.sqlite", "store.postgresql", "store.config", "store.writer",
-    "store.__main__", "network.loop", "network.stream", "network.connecting", "network.callers",
+    "store.__main__", "network.loop", "network.stream", "network.connecting", "network.listening",
+    "network.callers",
     "network.servers", "network.board", "admin", "parts", "membership.part", "store.part", "learning.part",
     "fleet.schema", "fleet.backend", "fleet.sqlite", "fleet.postgresql", "fleet.config", "fleet.ownership",
     "fleet.agent", "fleet.part", "starting.polls", "starting.subset", "starting.part", "work.config",
