Subsets: a small fleet keeps to more servers, so that chance leaves none out

Cause: deploy/subset.toml's eight servers a proxy are right for some hundreds of proxies alone. Measured by 40 draws of names over three zones: of 24 servers four proxies left 4.5 without any, and the fullest had 2.55 times its part; of 48 servers 16 proxies left 3.2 out (2.38). With 200 proxies none, and 1.19. The test of what run switches on names the new figure as a part of the subset, and nothing else.

--- a/canvasplank/starting/part.py
+++ b/canvasplank/starting/part.py
@@ -29,6 +29,8 @@
     begin_per_s: Rate = 0.0  # set-ups there at first
     ready_with_list: bool = False  # no test is passed before a list names a server
     servers_per_proxy: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 0  # for each class of call; 0: all
+    # At least so many proxies keep to each server, on average: in a small fleet each then keeps to more.
+    proxies_per_server: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 0
 
 
 def load(path: str) -> Made:
@@ -47,7 +49,8 @@
         self._rng = random.Random(int(host.configuration.seed, 16))
         groups = (None if c.pools is None else frozenset(c.pools) for c in configured.classes)
         self._subset = Subset(host.configuration.name, groups,
-                              settings.servers_per_proxy, self._carries)
+                              settings.servers_per_proxy, self._carries,
+                              lambda: settings.proxies_per_server / self._fleet())
         self._told_of = 0  # proxies, when the module last heard how many share a server
         if (polls_per_s := settings.polls_per_s) > 0:
             first_per_s = settings.first_per_s or polls_per_s
--- a/canvasplank/starting/subset.py
+++ b/canvasplank/starting/subset.py
@@ -43,19 +43,29 @@
     return [server_id for _, server_id in sorted(places)]
 
 
-def choose(name: str, ready: Sequence[Instance], groups: Iterable[Pools | None], most: int) -> set[str]:
-    """Of the servers that may take a class of call, by its ``Pools`` (None: any), the first ``most`` each.
+def kept_of(servers: int, most: int, least_part: float) -> int:
+    """How many of a group of servers a proxy keeps to: ``most``, or what ``least_part`` of them makes.
+
+    Guards a small fleet against servers that chance gives to none of its proxies, or to too few.
+    """
+    return min(servers, max(most, math.ceil(least_part * servers)))
+
+
+def choose(name: str, ready: Sequence[Instance], groups: Iterable[Pools | None], most: int,
+           least_part: float = 0.0) -> set[str]:
+    """Of the servers that may take a class of call, by its ``Pools`` (None: any), the first of its ranking.
 
     Guards a class that few servers may take against a subset with none of them.
     """
     chosen: set[str] = set()
     for pools in set(groups):
-        chosen.update(rank(name, [i for i in ready if pools is None or i.cell in pools])[:most])
+        group = [i for i in ready if pools is None or i.cell in pools]
+        chosen.update(rank(name, group)[:kept_of(len(group), most, least_part)])
     return chosen
 
 
 def shared_by(cell: int, ready: Sequence[Instance], groups: Iterable[Pools | None], most: int,
-              proxies: int) -> int:
+              proxies: int, least_part: float = 0.0) -> int:
     """How many of so many proxies keep to a server of this cell: no more than this, but for rare chance.
 
     A proxy that has a server among the first of a larger group has it, but for a zone's rounding, among those
@@ -66,7 +76,8 @@
     holding = {frozenset(every if pools is None else pools & every) for pools in groups}
     holding = {group for group in holding if cell in group}
     smallest = [group for group in holding if not any(other < group for other in holding)]
-    chance = sum(min(1.0, most / sum(each in group for each in cells)) for group in smallest)
+    sizes = [sum(each in group for each in cells) for group in smallest]
+    chance = sum(kept_of(size, most, least_part) / size for size in sizes)
     if chance >= 1.0:
         return proxies
     mean = proxies * chance
@@ -77,9 +88,13 @@
     """One proxy's servers as they come and go."""
 
     def __init__(self, name: str, groups: Iterable[Pools | None], most: int,
-                 carries: Callable[[str], bool]) -> None:
-        """``most``: servers for each class of call, 0 for all; ``carries``: whether a server has calls."""
+                 carries: Callable[[str], bool], least_part: Callable[[], float] = float) -> None:
+        """``most``: servers for each class of call, 0 for all; ``carries``: whether a server has calls.
+
+        ``least_part``: so large a part of them at least, which may change with the fleet.
+        """
         self._name, self._groups, self._most, self._carries = name, tuple(groups), most, carries
+        self._least_part = least_part
         self._listed: dict[str, Instance] = {}
         self._kept: set[str] = set()
 
@@ -104,7 +119,7 @@
         """How many of the proxies share a server of this cell; None: all do."""
         if not self._most:
             return None
-        return shared_by(cell, self._ready(), self._groups, self._most, proxies)
+        return shared_by(cell, self._ready(), self._groups, self._most, proxies, self._least_part())
 
     def spread(self) -> float:
         """Over so many times as many servers as this one's the fleet's set-ups go."""
@@ -123,7 +138,8 @@
         return server_id in self._listed
 
     def _wanted(self) -> set[str]:
-        return choose(self._name, self._ready(), self._groups, self._most or len(self._listed))
+        return choose(self._name, self._ready(), self._groups, self._most or len(self._listed),
+                      self._least_part())
 
     def _ready(self) -> list[Instance]:
         return [instance for instance in self._listed.values() if instance.lifecycle == READY]
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -35,5 +35,6 @@
     assert set(named) <= {entry.variable for entry in TABLE}
     assert len(switched_on({name: str(ROOT / path) for name, path in named.items()})) == 1
     starting = LOADS["starting"](str(ROOT / "deploy" / "subset.toml"))
-    assert starting == Starting(servers_per_proxy=starting.servers_per_proxy)
+    assert starting == Starting(servers_per_proxy=starting.servers_per_proxy,
+                                proxies_per_server=starting.proxies_per_server), "the subset alone"
     assert run.rpartition(";")[2].startswith(" exec "), "one process, which starts no program"
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -6,6 +6,7 @@
 import json
 import math
 import time
+import tomllib
 from collections import Counter
 from types import SimpleNamespace
 
@@ -69,6 +70,18 @@
         assert max(shared.values()) <= 1.05 * told and told < 1.5 * mean
         assert sum(each > told for each in shared.values()) <= servers / 100
 
+    @pytest.mark.parametrize("servers", [12, 24, 48])
+    @pytest.mark.parametrize("proxies", [1, 2, 4, 16, 30, 60, 100, 200])
+    def test_no_server_is_left_out_or_overfull_in_a_fleet_of_any_size_as_run_has_it(self, proxies, servers):
+        """With eight of 24 each, four proxies left 4 or 5 servers without any."""
+        figures = tomllib.loads((ROOT / "deploy" / "subset.toml").read_text())
+        most, least_part = figures["servers_per_proxy"], figures["proxies_per_server"] / proxies
+        listed = instances(servers)
+        shared = Counter(s for name in names(proxies) for s in choose(name, listed, ALL, most, least_part))
+        assert len(shared) == servers
+        assert max(shared.values()) <= 1.75 * sum(shared.values()) / servers
+        assert max(shared.values()) <= shared_by(0, listed, ALL, most, proxies, least_part)
+
     def test_a_server_that_goes_moves_only_those_who_kept_to_it(self):
         listed = instances(24)
         for name in names(300):
@@ -219,6 +232,17 @@
     assert entry.begin_per_s == pytest.approx(begin_per_s)
 
 
+def test_a_proxy_keeps_to_more_servers_as_its_fleet_gets_smaller():
+    """By the settings' number of instances, or the fleet's rows where they are on."""
+    def kept_by(members: int) -> int:
+        start = StartingPart(Fake(100, members), Starting(servers_per_proxy=3, proxies_per_server=25))
+        told = start.narrowed(True, instances(24))
+        assert all(start.entered(server_of(i)).senders <= (members or 100) for i in told)
+        return len(told)
+
+    assert [kept_by(members) for members in (0, 300, 50, 20)] == [6, 3, 12, 24]
+
+
 def test_all_parts_of_a_start_sum_to_no_more_than_the_whole():
     """By shares of a lease, however uneven, and by those who share each server."""
     listed, whole = instances(12), Counter()
