Closes and the end: what lies unread or half written is taken to its end

Causes, each shown by a test on real sockets that fails without its mend: - Answers half written at SIGTERM to one who reads late were cut 0.3 s after the last call was answered, though nobody kills us for seconds. They are waited for until 0.2 s before that; one who never reads keeps nobody. - accept(2) tells the fault of a connection that broke in the queue (EPROTO, ECONNABORTED): at the listener's close it went up through the timer's action and the end never went on. Such a connection is passed over. - A quiesced connection was ended amid a turn, at the answer that left it empty: a set-up that had lain there while the process stood still for over 50 ms met the end, and no caller sends that again. It ends once all is read. - A call given up or released by word on another connection stayed in its own one's tables: one half-closed or quiesced was never ended, and a connection's table grew by every call that a caller released.

--- a/canvasplank/exchange.py
+++ b/canvasplank/exchange.py
@@ -50,8 +50,8 @@
     def release(self, origin: Hashable | None, call_id: str, cause: int) -> None:
         """Tell that a standing call is over, on any connection."""
 
-    def taken_over(self, origin: Hashable, call_id: str) -> None:
-        """The call has come again from elsewhere and is answered there."""
+    def forget(self, origin: Hashable, call_id: str) -> None:
+        """Nothing of it is to come there: its caller gave it up, released it, or sent it again elsewhere."""
 
 
 class ServerSide(Protocol):
@@ -178,7 +178,7 @@
             if not known.owed or not known.is_again(call):  # one that stands is not owed an answer
                 return False
             if known.origin != call.origin:
-                self.callers.taken_over(known.origin, call.id)
+                self.callers.forget(known.origin, call.id)
                 known.origin = call.origin
             return True
         held_bytes = self._held_bytes + len(call.description)
@@ -215,6 +215,7 @@
         if call is not None:
             self.counters.add("taken.releases")
             self.servers.release(call.stands_at, call_id, cause)
+            self.callers.forget(call.origin, call_id)
             self._end_standing(call, api.Outcome.CANCELLED)
         elif call_id not in self._ended:
             # Guards against losing a release after a restart of ours: the call may stand at any server.
@@ -233,6 +234,7 @@
             return
         self.counters.add("taken.given_up")
         call.owed = False
+        self.callers.forget(call.origin, call.id)  # the word of it may have come on another connection
         if self.recorder is not None:
             self.recorder.answered(call, "given_up", self.turns.now_ms)
         self._tell(api.CallerGone(call.id))
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -104,8 +104,17 @@
 
     def answered(self, call_id: str, data: bytes) -> None:
         """Write a final answer."""
-        self.open.discard(call_id)
         self.write(data)
+        self.open.discard(call_id)
+        self._leave_if_unused()
+
+    def forget(self, call_id: str) -> None:
+        """Nothing of this call is to come here any more."""
+        self.open.discard(call_id)
+        self.standing.discard(call_id)
+        self._leave_if_unused()
+
+    def _leave_if_unused(self) -> None:
         if self.half_closed and not self.open:
             self.close()
         self.leave_if_quiesced()
@@ -116,9 +125,12 @@
         return not self.open and not self.standing
 
     def leave_if_quiesced(self) -> None:
-        """While the operators send callers away, a connection goes once it carries nothing."""
+        """While the operators send callers away, a connection goes once it carries nothing.
+
+        At the end of the turn: guards a set-up that lies there unread against our end of the connection.
+        """
         if self._callers.quiesced and self.carries_nothing:
-            self.finish()
+            self.turns.after(0.0, lambda: self._callers.quiesced and self.carries_nothing and self.finish())
 
 
 class Callers:
@@ -215,9 +227,9 @@
             self._owed[call_id] = cause
             self.exchange.turns.after(OWED_MS, lambda: self._pay(self._any(calls=False)))
 
-    def taken_over(self, origin: Hashable, call_id: str) -> None:
+    def forget(self, origin: Hashable, call_id: str) -> None:
         """See ``CallerSide``."""
-        origin.open.discard(call_id)
+        origin.forget(call_id)
 
     def _any(self, *, calls: bool) -> CallerStream | None:
         """The newest connection, the least likely to be closed now; with ``calls``, one that carries them.
@@ -272,7 +284,6 @@
             case isup.Kind.SET_UP:
                 self._set_up(stream, message)
             case isup.Kind.RELEASE:
-                stream.open.discard(message.call_id)
                 self.exchange.give_up(message.call_id, message.cause)
                 stream.write(isup.release_heard(message.call_id))
             case isup.Kind.RELEASE_HEARD:
--- a/canvasplank/network/listening.py
+++ b/canvasplank/network/listening.py
@@ -59,11 +59,11 @@
         for _ in range(most):
             try:
                 accepted, _address = self._socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            except BlockingIOError:
                 return
             except OSError as fault:
                 if fault.errno not in SHORT_OF:
-                    raise
+                    continue  # it broke before it was taken, and accept(2) tells its fault
                 # Guards against a loop that does nothing but fail to accept.
                 LOG.error("no connection is taken for a second: %s", fault)
                 self._loop.remove_reader(self._socket)
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -330,7 +330,7 @@
     def set_up(self, server_id: str, call: CallRecord, attempt: int, wait_ms: float) -> None:
         """See ``ServerSide``."""
         peer = self._peers.get(server_id)
-        if peer is None or peer.state is not api.ServerState.READY:
+        if self.parting or peer is None or peer.state is not api.ServerState.READY:
             self.exchange.ended(server_id, call.id, attempt, api.Outcome.NO_CONNECTION)
             return
         self._connect(peer, wanted=True)
--- a/canvasplank/program.py
+++ b/canvasplank/program.py
@@ -46,7 +46,7 @@
 LEAVE_EARLY_MS = 300.0  # whatever is open so long before somebody may kill us is failed
 KILLED_EARLY_MS = 100.0  # and all is to be done so long before it
 LOOK_MS = 20.0
-FLUSH_MS = 200.0  # for the last bytes to leave
+FLUSH_MS = 100.0  # past that, for the last bytes to leave
 PART_MS = 100.0  # for callers to hear the end of their connections; what crosses it does so within 50 ms
 
 
@@ -193,18 +193,18 @@
         self._callers.stop_listening()
         self.turns.after(LOOK_MS, self._answer_the_rest)
 
-    def _answer_the_rest(self, since_ms: float | None = None) -> None:
-        """Until all is answered and written; ``since_ms``: since when nothing is open.
+    def _answer_the_rest(self) -> None:
+        """Until all is answered and written, or somebody may kill us.
 
         Asked anew each time: guards a set-up that comes while the last bytes leave against being taken and
-        then left without an answer.
+        then left without an answer, and one who reads late against the end of an answer half written.
         """
-        now_ms = self.turns.now_ms
-        if now_ms - self._closing_ms >= self._leave_ms:
+        past_ms = self.turns.now_ms - self._closing_ms
+        if past_ms >= self._leave_ms:
             self.exchange.fail_all()
-        since_ms = None if self.exchange.open_calls else since_ms or now_ms
-        if since_ms is None or (self._callers.unsent() and now_ms < since_ms + FLUSH_MS):
-            self.turns.after(LOOK_MS, lambda: self._answer_the_rest(since_ms))
+        unsent = self._callers.unsent() and past_ms < self._leave_ms + FLUSH_MS
+        if self.exchange.open_calls or unsent:
+            self.turns.after(LOOK_MS, self._answer_the_rest)
         else:
             self._part()
 
