Names: the notice board is service discovery in code

Mechanical: Board, BoardStream, Notice, network/board.py and what is called after them become Discovery, DiscoveryWatch, DiscoveryEvent, network/discovery.py. The configuration's key stays 'board', and log lines keep 'notice board'.

--- a/canvasplank/fleet/part.py
+++ b/canvasplank/fleet/part.py
@@ -23,7 +23,7 @@
         host.controller.spend = self._spend
         host.count_fleet = lambda: len(self._agent.watch)
         host.part_of_fleet = self._agent.part_of_set_ups
-        self._agent.hears = lambda: host.board.heard_ms is not None
+        self._agent.hears = lambda: host.discovery.heard_ms is not None
         self._agent.others_hear = self._others_hear
         self._host = host
 
@@ -32,7 +32,7 @@
 
     def _others_hear(self) -> None:
         self._host.turns.begin()
-        self._host.board.heard_by_others()
+        self._host.discovery.heard_by_others()
 
     async def start(self) -> None:
         """See ``Part``; until there is a lease the proxy has its part of what is kept back."""
--- a/canvasplank/membership/keeper.py
+++ b/canvasplank/membership/keeper.py
@@ -13,7 +13,7 @@
 from canvasplank.deadlines import Turns
 from canvasplank.membership.kept import MOST_BYTES, KeptError, KeptList, decode, encode
 from canvasplank.membership.roster import Roster
-from canvasplank.settings import Notice
+from canvasplank.settings import DiscoveryEvent
 
 LOG = logging.getLogger(__name__)
 WRITE_EVERY_MS = 1_000.0  # so that a release, which tells dozens of events, writes a few times
@@ -59,7 +59,7 @@
         self._failing = False
         self._task: asyncio.Task | None = None
 
-    def told(self, notice: Notice) -> None:
+    def told(self, notice: DiscoveryEvent) -> None:
         """An event of the board."""
         self._roster.told(notice, self._turns.now_ms)
 
--- a/canvasplank/membership/part.py
+++ b/canvasplank/membership/part.py
@@ -8,7 +8,7 @@
 from canvasplank.membership.keeper import Keeper, read
 from canvasplank.membership.roster import Roster, judge
 from canvasplank.parts import Host, Made, Part
-from canvasplank.settings import Notice, folded, read_settings
+from canvasplank.settings import DiscoveryEvent, folded, read_settings
 
 LOG = logging.getLogger(__name__)
 
@@ -26,7 +26,7 @@
         self._host, self._settings = host, settings
         self._known = folded(host.configuration.known.notices)
         self._keeper = Keeper(settings.path, Roster(self._known, host.turns.now_ms), host.turns,
-                              lambda: host.board.heard_ms)
+                              lambda: host.discovery.heard_ms)
 
     async def start(self) -> None:
         """See ``Part``."""
@@ -46,7 +46,7 @@
         host.servers.listed(True, start.instances)
         host.exchange.hinted(start.hints)
 
-    def told(self, notice: Notice) -> None:
+    def told(self, notice: DiscoveryEvent) -> None:
         """See ``Part``."""
         self._keeper.told(notice)
 
--- a/canvasplank/membership/roster.py
+++ b/canvasplank/membership/roster.py
@@ -9,7 +9,7 @@
 
 from canvasplank import interface as api
 from canvasplank.membership.kept import VERSION, KeptList, KeptServer
-from canvasplank.settings import Instance, Notice, fold
+from canvasplank.settings import DiscoveryEvent, Instance, fold
 
 READY = "ready"
 TRUSTED_MS = 10_000.0  # the board's own news may come as late as this
@@ -27,7 +27,7 @@
         self.known = bool(instances)  # whether anybody but the disk has told a list: guards the kept one
         self.changed = self.known
 
-    def told(self, notice: Notice, now_ms: float) -> None:
+    def told(self, notice: DiscoveryEvent, now_ms: float) -> None:
         """An event of the board."""
         if notice.pool is not None and (self.known or notice.pool.reset):
             if not self.known:
--- a/canvasplank/network/board.py
+++ b/canvasplank/network/discovery.py
@@ -1,4 +1,4 @@
-"""The notice board: one stream of events, taken up again where it broke off."""
+"""The client of service discovery (the pages' notice board): a watch, resumed from the last event known."""
 
 from __future__ import annotations
 
@@ -15,15 +15,15 @@
 from canvasplank.deadlines import Turns
 from canvasplank.network.connecting import Backoff, Connecting
 from canvasplank.network.stream import Held, Stream
-from canvasplank.settings import NOTICE, Notice
+from canvasplank.settings import DISCOVERY_EVENT, DiscoveryEvent
 
 LOG = logging.getLogger(__name__)
 PATH = "/board/poll"
 CONNECT_MS = 1000.0
-SILENCE_MS = 1500.0  # a comment is due every second; what a silent board holds back is not known here
+SILENCE_MS = 1500.0  # a comment is due every second; what a silent service holds back is not known here
 LOOK_MS = 100.0
-# What a board has to tell counts as told 4 s after it moved, and 7 s after it came.  Where one that has moved
-# is up and has told no event yet, it is asked again after so long, then after doubling times.
+# What a service has to tell counts as told 4 s after it moved, and 7 s after it came.  Where one that has
+# moved is up and has told no event yet, it is asked again after so long, then after doubling times.
 UNTOLD_MS, UNTOLD_MOST_MS = 3500.0, 60_000.0
 UNTOLD_SPREAD = (0.75, 1.0)  # of that, drawn each time: proxies that moved in one instant ask apart
 BACKOFF_MS, BACKOFF_MOST_MS = 50.0, 800.0
@@ -31,39 +31,39 @@
 READS_MOST = 3  # of one event that cannot be read; it may have come torn
 
 
-class BoardStream(Stream):
-    """One connection to the notice board."""
+class DiscoveryWatch(Stream):
+    """One connection to service discovery."""
 
-    def __init__(self, board: Board) -> None:
-        super().__init__(board.turns, "notice board", sse.Parser(), board.held)
-        self._board = board
+    def __init__(self, discovery: Discovery) -> None:
+        super().__init__(discovery.turns, "notice board", sse.Parser(), discovery.held)
+        self._discovery = discovery
         self.made_ms = self.turns.now_ms
 
     def connected(self) -> None:
         """Ask for what is new."""
         self.made_ms = self.turns.now_ms
-        self._board.watches()
-        self.write(sse.request(PATH, self._board.address, self._board.last_id))
+        self._discovery.watches()
+        self.write(sse.request(PATH, self._discovery.address, self._discovery.last_id))
 
     def received(self, data: memoryview) -> None:
         """Read events."""
-        self._board.spoke(self)
+        self._discovery.spoke(self)
         for event in self.messages(data):
-            self._board.event(event)
+            self._discovery.event(event)
 
     def ended(self, error: Exception | None) -> None:
         """Ask again."""
-        self._board.left(self)
+        self._discovery.left(self)
 
 
 class Pace(Protocol):
-    """When to ask a board that a whole fleet asks; waits in milliseconds."""
+    """When to ask a service that a whole fleet asks; waits in milliseconds."""
 
     def first(self) -> float:
         """Before the first poll of all."""
 
     def again(self, now_ms: float, named_ms: float) -> float:
-        """After a failure or a break; ``named_ms``: so long the board itself wants to be left alone."""
+        """After a failure or a break; ``named_ms``: so long the service itself wants to be left alone."""
 
     def well(self) -> None:
         """It has told something."""
@@ -72,10 +72,10 @@
         """Somebody else hears it and we do not; None: no need to hurry."""
 
 
-class Board:
-    """Follows the notice board from the last event known."""
+class Discovery:
+    """Follows service discovery from the last event known."""
 
-    def __init__(self, turns: Turns, address: str, last_id: int, told: Callable[[Notice], None],
+    def __init__(self, turns: Turns, address: str, last_id: int, told: Callable[[DiscoveryEvent], None],
                  held: Held, rng: random.Random | None = None) -> None:
         self.turns = turns
         self.held = held
@@ -83,7 +83,7 @@
         self.address = address
         self.last_id = last_id
         self._told = told
-        self._stream: BoardStream | None = None
+        self._stream: DiscoveryWatch | None = None
         self._connecting: Connecting | None = None
         self._backoff = Backoff(turns, BACKOFF_MS, BACKOFF_MOST_MS)
         self.pace: Pace | None = None  # None: by the doubling waits alone
@@ -117,7 +117,7 @@
                 self.turns.after(wait_ms, self._connect)
 
     def move(self, address: str) -> None:
-        """The board is elsewhere now: ask there at once, from the last event known.
+        """The service is elsewhere now: ask there at once, from the last event known.
 
         Guards against waiting for the old address to close, or to be found silent: it tells nothing more.
         """
@@ -135,33 +135,33 @@
         self._connect_first()
 
     def _connect(self) -> None:
-        if self._stream is not None:  # a wait from before the board moved
+        if self._stream is not None:  # a wait from before the service moved
             return
-        stream = self._stream = BoardStream(self)
+        stream = self._stream = DiscoveryWatch(self)
         self._connecting = Connecting(stream, self.address, CONNECT_MS, lambda why: self._failed(stream, why))
 
-    def _failed(self, stream: BoardStream, why: str) -> None:
+    def _failed(self, stream: DiscoveryWatch, why: str) -> None:
         if self._backoff.failures == 0:
             LOG.info("notice board: no connection: %s", why)
         self.left(stream)
 
-    def left(self, stream: BoardStream) -> None:
+    def left(self, stream: DiscoveryWatch) -> None:
         """A connection has ended."""
         if self._stream is stream:
             self._stream = None
             self._backoff.then(self._connect, None if self.pace is None else self.pace.again(
                 self.turns.now_ms, stream.parser.named_wait_ms))
 
-    def spoke(self, stream: BoardStream) -> None:
+    def spoke(self, stream: DiscoveryWatch) -> None:
         """It says something, and has for a while: a later break is a fresh one.
 
-        Guards against asking a board that answers with errors over and over at the shortest wait.
+        Guards against asking a service that answers with errors over and over at the shortest wait.
         """
         if self.turns.now_ms - stream.made_ms > BACKOFF_MOST_MS:
             self._backoff.succeeded()
 
     def watches(self) -> None:
-        """A watch is up; guards against one where the board has moved to that was taken and then forgotten.
+        """A watch is up; guards against one where the service has moved to that was taken and then forgotten.
 
         One that has told an event is known to be well: asking that again would only be load.
         """
@@ -177,7 +177,7 @@
         if number <= self.last_id:
             return
         try:
-            notice = NOTICE.decode(event.data)
+            notice = DISCOVERY_EVENT.decode(event.data)
         except (ValueError, RecursionError, msgspec.MsgspecError) as fault:
             self._unread += 1
             # Guards against an event that can never be read keeping all later ones from us.
--- a/canvasplank/parts.py
+++ b/canvasplank/parts.py
@@ -13,10 +13,10 @@
 from canvasplank.counters import Counters
 from canvasplank.deadlines import Turns
 from canvasplank.exchange import Exchange
-from canvasplank.network.board import Board
+from canvasplank.network.discovery import Discovery
 from canvasplank.network.servers import Servers
 from canvasplank.policy import Controller
-from canvasplank.settings import Configuration, Notice
+from canvasplank.settings import Configuration, DiscoveryEvent
 
 
 class Host(Protocol):
@@ -27,7 +27,7 @@
     counters: Counters
     exchange: Exchange
     servers: Servers
-    board: Board
+    discovery: Discovery
     controller: Controller
     count_fleet: Callable[[], int]  # proxies in the fleet as far as is known; 0: nobody counts them
     part_of_fleet: Callable[[], float | None]  # of all set-ups, this proxy's; None: nobody divides them
@@ -39,7 +39,7 @@
     async def start(self) -> None:
         """Before callers are let in, with the configuration's list already entered; must be bounded."""
 
-    def told(self, notice: Notice) -> None:
+    def told(self, notice: DiscoveryEvent) -> None:
         """The notice board has told something; the call servers have it already."""
 
     def ready(self) -> bool:
--- a/canvasplank/program.py
+++ b/canvasplank/program.py
@@ -18,8 +18,8 @@
 from canvasplank.counters import Counters
 from canvasplank.deadlines import Deadlines, Turns
 from canvasplank.exchange import Exchange
-from canvasplank.network.board import Board
 from canvasplank.network.callers import Callers
+from canvasplank.network.discovery import Discovery
 from canvasplank.network.loop import PipeLoop
 from canvasplank.network.servers import Servers
 from canvasplank.network.stream import Held
@@ -28,7 +28,7 @@
 from canvasplank.settings import (
     Configuration,
     ConfigurationError,
-    Notice,
+    DiscoveryEvent,
     folded,
     load_configuration,
     read_ceilings,
@@ -72,7 +72,7 @@
         gauges = read_gauges(configuration.settings)
         self.servers = Servers(self.exchange, ceilings, settings.resend_ms, self._held, gauges)
         self.exchange.servers = self.servers
-        self.board = Board(self.turns, configuration.board, configuration.known.rev, self._notice,
+        self.discovery = Discovery(self.turns, configuration.discovery, configuration.known.rev, self._notice,
                             self._held, random.Random(int(configuration.seed, 16)))
         longest_ms = min(LONGEST_MS, max(c.deadline_ms for c in settings.classes))
         self._leave_ms = longest_ms + SERVE_ON_MS - LEAVE_EARLY_MS
@@ -97,7 +97,7 @@
         self.servers.listed(True, folded(self.configuration.known.notices))
         for part in self._parts:
             await part.start()
-        self.board.start()
+        self.discovery.start()
         if not self.exchange.closing:
             self._callers.listen(*split_address(self.configuration.listen))
             self._listening = True
@@ -144,7 +144,7 @@
         for line in self.counters.lines():
             print(line, file=sys.stderr, flush=True)
 
-    def _notice(self, notice: Notice) -> None:
+    def _notice(self, notice: DiscoveryEvent) -> None:
         if notice.pool is not None:
             self.servers.listed(notice.pool.reset, notice.pool.instances)
         for part in self._parts:
@@ -174,7 +174,7 @@
         self._callers.limit(fresh.limits.sockets)
         self.exchange.limit(fresh.limits.memory_mb * MIB)
         self._held.limit(fresh.limits.memory_mb * MIB)
-        self.board.move(fresh.board)
+        self.discovery.move(fresh.discovery)
         for part in self._parts:
             part.reloaded()
 
--- a/canvasplank/settings.py
+++ b/canvasplank/settings.py
@@ -58,7 +58,7 @@
     reset: bool = False
 
 
-class Notice(msgspec.Struct):
+class DiscoveryEvent(msgspec.Struct):
     """One numbered event of the notice board."""
 
     rev: int
@@ -69,7 +69,7 @@
     """The notices up to the start."""
 
     rev: int = 0
-    notices: list[Notice] = []
+    notices: list[DiscoveryEvent] = []
 
 
 class Configuration(msgspec.Struct):
@@ -77,7 +77,7 @@
 
     listen: str
     seed: str
-    board: str
+    discovery: str = msgspec.field(name="board")  # its address
     settings: dict[str, Any]
     name: str = ""
     admin: str = ""  # the operators' address; none: no such listener
@@ -130,7 +130,7 @@
         return api.Report(**values) if values else None
 
 
-NOTICE = msgspec.json.Decoder(Notice)
+DISCOVERY_EVENT = msgspec.json.Decoder(DiscoveryEvent)
 
 _STATES = {
     "ready": api.ServerState.READY,
@@ -139,7 +139,7 @@
 }
 
 
-def fold(instances: dict[str, Instance], notice: Notice) -> None:
+def fold(instances: dict[str, Instance], notice: DiscoveryEvent) -> None:
     """Take one event of the board into the list."""
     if notice.pool is None:
         return
@@ -152,7 +152,7 @@
             instances[instance.instance_id] = instance
 
 
-def folded(notices: Iterable[Notice]) -> list[Instance]:
+def folded(notices: Iterable[DiscoveryEvent]) -> list[Instance]:
     """The list as it stands after these events."""
     instances: dict[str, Instance] = {}
     for notice in notices:
@@ -165,7 +165,7 @@
     try:
         with open(path, "rb") as file:
             configuration = msgspec.json.decode(file.read(), type=Configuration)
-        for address in (configuration.listen, configuration.board, configuration.admin or "any:0"):
+        for address in (configuration.listen, configuration.discovery, configuration.admin or "any:0"):
             split_address(address)
         int(configuration.seed, 16)
     except (OSError, msgspec.MsgspecError, ValueError, RecursionError) as fault:  # the last: too deep
--- a/canvasplank/starting/part.py
+++ b/canvasplank/starting/part.py
@@ -54,7 +54,7 @@
         self._told_of = 0  # proxies, when the module last heard how many share a server
         if (polls_per_s := settings.polls_per_s) > 0:
             first_per_s = settings.first_per_s or polls_per_s
-            host.board.pace = PollPace(self._fleet, polls_per_s, first_per_s, self._rng)
+            host.discovery.pace = PollPace(self._fleet, polls_per_s, first_per_s, self._rng)
         host.servers.opening = self
 
     async def start(self) -> None:
--- a/canvasplank/starting/subset.py
+++ b/canvasplank/starting/subset.py
@@ -14,7 +14,7 @@
 import msgspec
 import xxhash
 
-from canvasplank.settings import Instance, Notice, Pool, fold
+from canvasplank.settings import DiscoveryEvent, Instance, Pool, fold
 
 READY, DRAINING = "ready", "draining"
 SPREAD = 3.0  # roots of the mean: about one server in a thousand is shared by more than that over the mean
@@ -104,7 +104,7 @@
         One that is no longer among them drains: nothing new goes there, and it is kept until no call stands
         there, so that their releases find somebody.
         """
-        fold(self._listed, Notice(0, Pool(instances, reset=complete)))
+        fold(self._listed, DiscoveryEvent(0, Pool(instances, reset=complete)))
         wanted = self._wanted()
         told = []
         for server_id, instance in self._listed.items():
--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -62,7 +62,7 @@
             await asyncio.sleep(TELLS_EVERY_S)
 
 
-async def board(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """A notice board with no news."""
     await reader.readuntil(b"\r\n\r\n")
     writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
@@ -75,7 +75,7 @@
     """Serve until stopped."""
     servers = [
         await asyncio.start_server(lambda r, w: ToyServer(r, w).serve(), "127.0.0.1", int(sip_port)),
-        await asyncio.start_server(board, "127.0.0.1", int(board_port)),
+        await asyncio.start_server(discovery, "127.0.0.1", int(board_port)),
     ]
     print("toy server ready", flush=True)
     await asyncio.gather(*(server.serve_forever() for server in servers))
--- a/experiments/plan.py
+++ b/experiments/plan.py
@@ -26,9 +26,9 @@
     "servers-silent",
     "servers-cold",  # their processes have just started at that time; ``for_s`` is not used
 ]
-BOARD = ("board-closes", "board-stalls", "board-busy", "board-away")
+DISCOVERY = ("board-closes", "board-stalls", "board-busy", "board-away")
 STORE = ("proxies-cut-off-store", "proxies-deaf-store", "store-stalls", "store-restarts")
-SIMULATED = (*BOARD, "servers-cold")
+SIMULATED = (*DISCOVERY, "servers-cold")
 
 
 class Fault(msgspec.Struct, forbid_unknown_fields=True):
@@ -78,7 +78,7 @@
 
     def board_back_s(self) -> float | None:
         """When the board has the last of its faults behind it; None: it has none."""
-        ends = [fault.ends_s for fault in self.fault if fault.what in BOARD]
+        ends = [fault.ends_s for fault in self.fault if fault.what in DISCOVERY]
         return max(ends, default=None)
 
 
--- a/experiments/simulation.py
+++ b/experiments/simulation.py
@@ -22,7 +22,7 @@
 from canvasplank.starting.polls import FIRST_MS, MOST_MS, PollPace
 from canvasplank.starting.subset import Subset
 from experiments.measures import Call, Cold, Observed
-from experiments.plan import BOARD, Experiment, Fault, Variant
+from experiments.plan import DISCOVERY, Experiment, Fault, Variant
 from standins.fleet import service_settings
 
 MS = 1000.0
@@ -83,11 +83,11 @@
         self.clock.after((self.free_ms if stands else now_ms) - now_ms + WAY_MS, lambda: answer(stands))
 
 
-class Board:
+class Discovery:
     """What a poll comes to at any time."""
 
     def __init__(self, faults: list[Fault]) -> None:
-        self._faults = [fault for fault in faults if fault.what in BOARD]
+        self._faults = [fault for fault in faults if fault.what in DISCOVERY]
         self.polls: list[float] = []
         self.told: list[float] = []
 
@@ -146,7 +146,7 @@
         self._clock.after(self._pace.first(), self._poll)
 
     def _poll(self) -> None:
-        trouble = self._world.board.asked(self._clock.now_ms / MS)
+        trouble = self._world.discovery.asked(self._clock.now_ms / MS)
         if trouble is None:
             self._clock.after(2 * WAY_MS, self._told)
             return
@@ -227,7 +227,7 @@
 
     def __init__(self, experiment: Experiment, variant: Variant, size: int, seed: int) -> None:
         self._experiment, self._rng = experiment, random.Random(seed)
-        self.clock, self.board = Clock(), Board(experiment.fault)
+        self.clock, self.discovery = Clock(), Discovery(experiment.fault)
         plan = experiment.servers
         self.seen = Observed(size, plan.capacity_per_s)
         self.processors = {f"s-{n}": Processor(f"s-{n}", plan.capacity_per_s, plan.hold_ms, self.clock)
@@ -274,7 +274,7 @@
             self._next_call()
         self.clock.run(self._experiment.for_s * MS + WAIT_MS)
         seen = self.seen
-        seen.polls, seen.told = self.board.polls, self.board.told
+        seen.polls, seen.told = self.discovery.polls, self.discovery.told
         for name, processor in self.processors.items():
             seen.connections[name], seen.set_ups[name] = processor.accepted, processor.came
             seen.open_at_end[name] = len(processor.accepted)
--- a/experiments/stage.py
+++ b/experiments/stage.py
@@ -45,12 +45,12 @@
     def __init__(self, experiment: Experiment, variant: Variant, size: int, seed: int,
                  started: Fleet) -> None:
         self.experiment, self.variant, self.size = experiment, variant, size
-        self.fleet, self.board, self.servers = started, started.board, started.servers
+        self.fleet, self.discovery, self.servers = started, started.discovery, started.servers
         self.random = random.Random(seed)
         self._names = [f"n{number}" for number in range(size)]
         self.callers = Callers(seed, pools=len(started.servers))
         self.proxies: dict[str, Proxy] = {}
-        self.far = Link(self.board.address)  # to the board, for those that are cut off from it
+        self.far = Link(self.discovery.address)  # to the board, for those that are cut off from it
         self.seen = Observed(size, experiment.servers.capacity_per_s)
         self._tasks = Tasks()
         self._began_s = asyncio.get_running_loop().time()
@@ -61,7 +61,7 @@
             (fault.part for fault in experiment.fault if fault.what == "proxies-cut-off"), 0.0))
         # Guards what is noted against hundreds of starts that keep the rig from its clock: it comes first.
         started.nice = PROXIES_NICE
-        started.board_for = lambda name: self.far.address if name in self._beyond else self.board.address
+        started.discovery_for = lambda name: (self.far if name in self._beyond else self.discovery).address
 
     def now_s(self) -> float:
         """Since the start."""
@@ -146,16 +146,16 @@
 
     def _ways(self, fault: Fault) -> tuple[Callable[[], Awaitable], Callable[[], Awaitable]]:
         """How a fault begins and how it ends."""
-        board = self.board
+        discovery = self.discovery
         match fault.what:
             case "board-closes":
-                return _set(board, in_trouble=True), _set(board, in_trouble=False)
+                return _set(discovery, in_trouble=True), _set(discovery, in_trouble=False)
             case "board-stalls":
-                return _set(board, stalled=True), _set(board, stalled=False)
+                return _set(discovery, stalled=True), _set(discovery, stalled=False)
             case "board-busy":
-                return _set(board, busy_s=fault.wait_s), _set(board, busy_s=None)
+                return _set(discovery, busy_s=fault.wait_s), _set(discovery, busy_s=None)
             case "board-away":
-                return board.stop, board.start
+                return discovery.stop, discovery.start
             case "proxies-cut-off":
                 return _call(self.far.cut), _call(self.far.heal)
             case "proxies-cut-off-store" | "proxies-deaf-store":
@@ -227,7 +227,7 @@
 
     def _note(self) -> None:
         seen, began_unix_s = self.seen, time.time() - self.now_s()
-        seen.polls, seen.told = self._since(self.board.polls), self._since(self.board.first_told)
+        seen.polls, seen.told = self._since(self.discovery.polls), self._since(self.discovery.first_told)
         for server in self.servers:
             seen.connections[server.name] = self._since(server.accepted)
             seen.open_at_end[server.name] = server.connections
--- a/standins/board.py
+++ b/standins/discovery.py
@@ -9,7 +9,7 @@
 COMMENT_EVERY_S = 0.5
 
 
-class Board:
+class Discovery:
     """Holds its numbered events; whoever polls gets what came after its last, then what follows."""
 
     def __init__(self) -> None:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from standins.board import Board
+from standins.discovery import Discovery
 from standins.server import CallServer
 
 ROOT = Path(__file__).parent.parent
@@ -85,17 +85,17 @@
 
     def __init__(self, folder: Path, servers: list[CallServer], instances: int) -> None:
         self.folder, self.servers, self.instances = folder, servers, instances
-        self.board = Board()
+        self.discovery = Discovery()
         self.in_configuration = True  # whether a proxy's configuration names the servers
         self.nice = 0  # of the proxies: above 0, this process comes before them
-        self.board_for: Callable[[str], str] = lambda _: self.board.address  # where a proxy finds the board
+        self.discovery_for: Callable[[str], str] = lambda _: self.discovery.address  # as a proxy finds it
         self.proxies: list[Proxy] = []
 
     async def start(self) -> None:
         """Start the servers and the board; proxies come with ``proxy``."""
         for server in self.servers:
             await server.start()
-        await self.board.start()
+        await self.discovery.start()
         await self.list(*self.servers)
 
     async def list(self, *servers: CallServer) -> None:
@@ -104,7 +104,7 @@
                     "machineType": "std", "cell": cell, "lifecycle": "ready", "weight": 1,
                     "startedAtMs": server.started_ms}
                    for cell, server in enumerate(servers)]
-        await self.board.tell({"generation": 1, "reset": True, "instances": entries})
+        await self.discovery.tell({"generation": 1, "reset": True, "instances": entries})
 
     @property
     def settings(self) -> dict:
@@ -113,9 +113,9 @@
         return service_settings(self.instances, len(holds), sum(holds) / len(holds))
 
     def _configuration(self, name: str, address: str, seed: int) -> dict:
+        known = self.discovery.known() if self.in_configuration else {"rev": 0, "notices": []}
         return _example() | {"name": name, "listen": address, "seed": f"{seed:016x}",
-                          "board": self.board_for(name), "settings": self.settings,
-                          "known": self.board.known() if self.in_configuration else {"rev": 0, "notices": []}}
+                          "board": self.discovery_for(name), "settings": self.settings, "known": known}
 
     async def proxy(self, name: str, seed: int, **environment: str) -> Proxy:
         """Start one and wait until it listens."""
@@ -139,7 +139,7 @@
         for proxy in self.proxies:
             if proxy.process.returncode is None:
                 await proxy.stop(signal.SIGKILL)
-        await self.board.stop()
+        await self.discovery.stop()
         for server in self.servers:
             await server.stop()
 
--- a/tests/player.py
+++ b/tests/player.py
@@ -223,7 +223,7 @@
     def configure(self, text: str) -> None:
         (self.folder / "config.json").write_text(text)
 
-    def move_board(self) -> None:
+    def move_discovery(self) -> None:
         self.parties["old board"] = self.parties["board"]
         self.parties["board"] = Party(listens=True)
         self.configure(json.dumps(self.configuration | {"board": self.parties["board"].address}))
@@ -280,7 +280,7 @@
                 cell = next(e["cell"] for e in self.known if e["instanceId"] == f"s-{name}")
                 self.tell(number, self.entry(name, state, started_ms, cell))
             case ["board", "moves"]:
-                self.move_board()
+                self.move_discovery()
             case ["old", "board", verb, *rest]:
                 getattr(self.parties["old board"], verb)(*rest)
             case ["board", "adds", number, name]:
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -162,7 +162,7 @@
 
     def __init__(self, folder, started, environment) -> None:
         self.folder, self.started, self.environment = folder, started, environment
-        self.board = started.board
+        self.discovery = started.discovery
         started.in_configuration = False  # the board alone names the servers
 
     async def start(self, names) -> None:
@@ -173,7 +173,7 @@
         return sum(proxy.process.returncode is None for proxy in self.started.proxies)
 
     def polls_since(self, at: float) -> list[float]:
-        return [poll for poll in self.board.polls if poll > at]
+        return [poll for poll in self.discovery.polls if poll > at]
 
     async def heard_by(self, count: int) -> float:
         """How long until so many are connected to the server, which the board alone names."""
@@ -208,7 +208,7 @@
 
     async def run():
         async with rush(tmp_path, count, polls_per_s, over_the_store) as fresh:
-            fresh.board.in_trouble = True
+            fresh.discovery.in_trouble = True
             await fresh.start([f"n{n}" for n in range(count)])
             for turn in range(3):  # a crash loop adds nothing but its first polls
                 crashing = [p for p in fresh.started.proxies if p.process.returncode is None][:6]
@@ -218,15 +218,15 @@
             await asyncio.sleep(5.0)
             # 24 alive at 8 a second; by the doubling waits alone there would be 30 a second.
             assert len(fresh.polls_since(began)) / 5.0 <= 1.75 * polls_per_s
-            assert most_in(sorted(fresh.board.polls), 0.1) <= 12
-            fresh.board.in_trouble = False
+            assert most_in(sorted(fresh.discovery.polls), 0.1) <= 12
+            fresh.discovery.in_trouble = False
             back = now_s()
             heard_s = await fresh.heard_by(count)
             assert most_in(fresh.polls_since(back), 0.1) <= 12, "no second wave"
             assert heard_s <= (5.0 if over_the_store else 2 * count / polls_per_s + 2.0)
-            settled = len(fresh.board.polls)
+            settled = len(fresh.discovery.polls)
             await asyncio.sleep(2.0)
-            assert len(fresh.board.polls) <= settled + 1, "who hears it asks no more"
+            assert len(fresh.discovery.polls) <= settled + 1, "who hears it asks no more"
 
     asyncio.run(run())
 
@@ -237,9 +237,9 @@
 
     async def run():
         async with rush(tmp_path, count, polls_per_s) as fresh:
-            far = Link(fresh.board.address)
+            far = Link(fresh.discovery.address)
             await far.start()
-            fresh.started.board_for = lambda name: far.address if name[0] == "f" else fresh.board.address
+            fresh.started.discovery_for = lambda name: (far if name[0] == "f" else fresh.discovery).address
             far.cut()
             await fresh.start([f"{'nf'[n % 2]}{n}" for n in range(count)])
             await fresh.heard_by(count // 2)
@@ -261,12 +261,12 @@
 
     async def run():
         async with rush(tmp_path, count, polls_per_s) as fresh:
-            fresh.board.stalled = True
+            fresh.discovery.stalled = True
             await fresh.start([f"n{n}" for n in range(count)])
             began = now_s()
             await asyncio.sleep(4.0)
             assert len(fresh.polls_since(began)) / 4.0 <= 1.75 * polls_per_s
-            fresh.board.stalled, fresh.board.busy_s = False, 60
+            fresh.discovery.stalled, fresh.discovery.busy_s = False, 60
             await asyncio.sleep(2 * count / polls_per_s + 2.0)  # all have been told by now, or hang no more
             began = now_s()
             await asyncio.sleep(2.0)
--- a/tests/test_board.py
+++ b/tests/test_discovery.py
@@ -9,7 +9,7 @@
 import pytest
 
 from canvasplank.deadlines import Deadlines, Turns
-from canvasplank.network.board import Board
+from canvasplank.network.discovery import Discovery
 from canvasplank.network.stream import Held
 
 COMMENT_MS = 1000.0  # between two words of a board that is well
@@ -23,13 +23,13 @@
         host, port = server.sockets[0].getsockname()
         now = [0.0]
         turns = Turns(Deadlines(), clock=lambda: now[0])
-        board = Board(turns, f"{host}:{port}", 1, lambda notice: None, Held(1e6))
-        board.start()
-        first = board._stream
+        discovery = Discovery(turns, f"{host}:{port}", 1, lambda notice: None, Held(1e6))
+        discovery.start()
+        first = discovery._stream
         async with asyncio.timeout(20):
             while not first.is_open:
                 await asyncio.sleep(0.01)
-            while board._stream is first:
+            while discovery._stream is first:
                 now[0] += 100.0
                 turns.begin()
                 await asyncio.sleep(0.01)
@@ -80,10 +80,10 @@
         watched = Watched(says)
         told, nobody = watched.told, "127.0.0.1:1"
         address = await watched.listen()
-        board = Board(watched.turns, nobody if moved else address, 1, lambda notice: told.append(notice.rev),
-                      Held(1e6), random.Random(1))
-        board.start()
-        board.move(address)
+        discovery = Discovery(watched.turns, nobody if moved else address, 1,
+                              lambda notice: told.append(notice.rev), Held(1e6), random.Random(1))
+        discovery.start()
+        discovery.move(address)
         async with asyncio.timeout(60):
             while not watched.asked_ms:
                 await asyncio.sleep(0.005)
@@ -139,17 +139,18 @@
         old = await asyncio.start_server(refuse, "127.0.0.1", 0)
         host, port = old.sockets[0].getsockname()
         watched = Watched()
-        board = Board(watched.turns, f"{host}:{port}", 1, lambda notice: None, Held(1e6), random.Random(1))
-        board.pace = Pace()
-        board.start()
+        discovery = Discovery(watched.turns, f"{host}:{port}", 1, lambda notice: None, Held(1e6),
+                              random.Random(1))
+        discovery.pace = Pace()
+        discovery.start()
         new = await watched.listen()
         async with asyncio.timeout(60):
-            while board._backoff.failures == 0:
+            while discovery._backoff.failures == 0:
                 watched.turns.begin()
                 await asyncio.sleep(0.005)
             watched.server.close()  # nobody is there yet when it moves
             await watched.server.wait_closed()
-            board.move(new)
+            discovery.move(new)
             await watched.go(1_000, 100.0)
             watched.server = await asyncio.start_server(watched._serve, *new.split(":"))
             await watched.go(2_000, 100.0)
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -15,11 +15,11 @@
 
 def test_a_toy_call_goes_through(tmp_path):
     taken = [socket.create_server(("127.0.0.1", 0)) for _ in range(3)]
-    proxy, sip, board = (str(s.getsockname()[1]) for s in taken)
+    proxy, sip, discovery = (str(s.getsockname()[1]) for s in taken)
     for each in taken:
         each.close()
     text = (ROOT / "examples/config.json").read_text()
-    for written, free in (("2905", proxy), ("2906", sip), ("4222", board)):
+    for written, free in (("2905", proxy), ("2906", sip), ("4222", discovery)):
         text = text.replace(f":{written}", f":{free}")
     config = tmp_path / "config.json"
     config.write_text(json.dumps(json.loads(text)))
@@ -30,7 +30,7 @@
         return subprocess.Popen([sys.executable, "-m", *words], cwd=ROOT, env=environment, text=True,
                                 stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
 
-    server = run("examples.toy_server", sip, board)
+    server = run("examples.toy_server", sip, discovery)
     assert "ready" in server.stdout.readline()
     program = run("canvasplank")
     try:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -89,7 +89,8 @@
     "store.schema", "store.backend", "store.sqlite", "store.postgresql", "store.config", "store.writer",
     "store.__main__", "network.loop", "network.stream", "network.connecting", "network.listening",
     "network.callers",
-    "network.servers", "network.board", "admin", "parts", "membership.part", "store.part", "learning.part",
+    "network.servers", "network.discovery", "admin", "parts", "membership.part", "store.part",
+    "learning.part",
     "fleet.schema", "fleet.backend", "fleet.sqlite", "fleet.postgresql", "fleet.config", "fleet.ownership",
     "fleet.agent", "fleet.part", "starting.polls", "starting.subset", "starting.part", "work.config",
     "work.usage", "work.files", "work.worker", "program", "cli", "__main__",
@@ -114,6 +115,6 @@
 
 
 def test_callers_and_servers_meet_only_in_the_exchange():
-    assert not imports_of("network.callers") & {"network.servers", "network.board"}
-    assert not imports_of("network.servers") & {"network.callers", "network.board"}
+    assert not imports_of("network.callers") & {"network.servers", "network.discovery"}
+    assert not imports_of("network.servers") & {"network.callers", "network.discovery"}
     assert not any(name.startswith("network") for name in imports_of("exchange"))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -15,7 +15,7 @@
 from canvasplank.membership.config import load_membership
 from canvasplank.membership.kept import MOST_BYTES, VERSION, KeptError, KeptList, KeptServer, decode, encode
 from canvasplank.membership.roster import MOST_AGE_MS, TRUSTED_MS, Roster, judge
-from canvasplank.settings import ConfigurationError, Instance, Notice, Pool
+from canvasplank.settings import ConfigurationError, DiscoveryEvent, Instance, Pool
 from standins.callers import Callers
 from standins.fleet import fleet
 from standins.server import CallServer
@@ -31,9 +31,9 @@
     return KeptList(VERSION, NOW - age_ms, list(servers or (A, B)))
 
 
-def notice(number: int, reset: bool, **states: str) -> Notice:
+def notice(number: int, reset: bool, **states: str) -> DiscoveryEvent:
     instances = [Instance(f"s-{name}", f"10.0.0.{name}:1", state) for name, state in states.items()]
-    return Notice(number, Pool(instances, reset))
+    return DiscoveryEvent(number, Pool(instances, reset))
 
 
 def test_a_list_goes_and_comes_unchanged():
@@ -162,7 +162,7 @@
                     await asyncio.sleep(0.05)
             await first.stop(signal.SIGKILL)
             await gone.stop()
-            await world.board.stop()
+            await world.discovery.stop()
             saved = decode(path.read_bytes())
             assert len(saved.servers) == 3
             path.write_bytes(encode(KeptList(VERSION, time.time() * 1000 - age_ms, saved.servers)))
@@ -176,9 +176,9 @@
 
             await new.start()
             world.servers.append(new)
-            world.board.anew()
+            world.discovery.anew()
             await world.list(a, b, new)
-            await world.board.start()
+            await world.discovery.start()
             before = new.set_ups
             async with asyncio.timeout(WAIT_S):
                 while new.set_ups == before:  # within seconds of the board's return
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -211,7 +211,7 @@
         example["settings"]["instances"] = instances
         self.configuration = SimpleNamespace(settings=example["settings"], seed="1", name="proxy-0")
         self.exchange = SimpleNamespace(carries=lambda _: False)
-        self.board = SimpleNamespace()
+        self.discovery = SimpleNamespace()
         self.servers = SimpleNamespace(processes=list, owes=lambda _: False)
         self.count_fleet, self.part_of_fleet = lambda: members, lambda: part
 
