Names: target, weight, tenant, preferred pool and overload in the module's interface

Mechanical: fields and what is called after them. The settings' keys stay, and messages about settings name those.

--- a/canvasplank/exchange.py
+++ b/canvasplank/exchange.py
@@ -109,9 +109,9 @@
     id: str
     class_name: str
     number: str
-    first_choice: int
+    preferred_pool: int
     was_cut: bool
-    gives_up_ms: float
+    expires_ms: float
     description: bytes
     origin: Hashable
     tenant: str | None = None  # None: the settings name no tenants
@@ -126,8 +126,8 @@
 
     def is_again(self, other: CallRecord) -> bool:
         """Whether the other is the same set-up, sent once more."""
-        return ((self.class_name, self.tenant, self.number, self.first_choice, self.description)
-                == (other.class_name, other.tenant, other.number, other.first_choice, other.description))
+        return ((self.class_name, self.tenant, self.number, self.preferred_pool, self.description)
+                == (other.class_name, other.tenant, other.number, other.preferred_pool, other.description))
 
 
 class Exchange:
@@ -189,9 +189,9 @@
             return True
         self._open[call.id] = call
         self._held_bytes += len(call.description)
-        call.deadline = self.turns.deadlines.add(call.gives_up_ms, lambda: self._overdue(call))
-        self._tell(api.Call(call.id, call.class_name, call.gives_up_ms, call.first_choice,
-                            contract=call.tenant, number=call.number, was_cut=call.was_cut))
+        call.deadline = self.turns.deadlines.add(call.expires_ms, lambda: self._overdue(call))
+        self._tell(api.Call(call.id, call.class_name, call.expires_ms, call.preferred_pool,
+                            tenant=call.tenant, number=call.number, was_cut=call.was_cut))
         return True
 
     def invalid(self, call: CallRecord) -> None:
--- a/canvasplank/fleet/agent.py
+++ b/canvasplank/fleet/agent.py
@@ -60,10 +60,10 @@
 
     # ------------------------------------------------------------------------------------ for the module
 
-    def spend(self, contract: str | None, attempt: int, server_id: str, take: bool) -> float:
+    def spend(self, tenant: str | None, attempt: int, server_id: str, take: bool) -> float:
         """How long until a set-up may go by the budgets; 0: now, and with ``take`` it goes."""
         now_ms = self._clock()
-        budgets = self.spender.covering(contract, attempt, server_id)
+        budgets = self.spender.covering(tenant, attempt, server_id)
         if take and self.spender.spend(budgets, now_ms):
             self._counters.add("fleet.spent")
             if self._fleet.trace:
--- a/canvasplank/fleet/part.py
+++ b/canvasplank/fleet/part.py
@@ -28,7 +28,7 @@
         self._host = host
 
     def _spend(self, call: api.Call, attempt: int, server_id: str, take: bool) -> float:
-        return self._agent.spend(call.contract, attempt, server_id, take)
+        return self._agent.spend(call.tenant, attempt, server_id, take)
 
     def _others_hear(self) -> None:
         self._host.turns.begin()
--- a/canvasplank/fleet/spending.py
+++ b/canvasplank/fleet/spending.py
@@ -26,13 +26,13 @@
     kind: Kind
     of: str = ""  # the member, or the server
 
-    def covers(self, contract: str | None, attempt: int, server_id: str) -> bool:
+    def covers(self, tenant: str | None, attempt: int, server_id: str) -> bool:
         """Whether a set-up needs a unit of it; attempts of a call count from 0."""
         match self.kind:
             case "set-ups":
                 return True
             case "member":
-                return attempt == 0 and contract == self.of
+                return attempt == 0 and tenant == self.of
             case "repeats":
                 return attempt > 0
             case _:
@@ -114,10 +114,10 @@
         self._buckets = {budget: Bucket(burst_ms, now_ms) for budget in scopes}
         self._demands = {budget: Demand() for budget in scopes}
 
-    def covering(self, contract: str | None, attempt: int, server_id: str) -> list[str]:
+    def covering(self, tenant: str | None, attempt: int, server_id: str) -> list[str]:
         """The budgets that a set-up needs a unit of, each."""
         return [budget for budget, scope in self._scopes.items()
-                if scope.covers(contract, attempt, server_id)]
+                if scope.covers(tenant, attempt, server_id)]
 
     def settle(self, now_ms: float) -> None:
         """Bring all buckets up to now; must be called before an allowance changes."""
--- a/canvasplank/interface.py
+++ b/canvasplank/interface.py
@@ -16,7 +16,7 @@
 
 
 class SettingsError(ValueError):
-    """A setting is missing or cannot be; the message names it."""
+    """A setting is missing or cannot be; the message names it, by the operators' key where that differs."""
 
 
 def _require(holds: bool, name: str, value: object) -> None:
@@ -82,24 +82,24 @@
     """One class of call."""
 
     name: str
-    aim_ms: float
+    target_ms: float
     deadline_ms: float
-    worth: float
-    late_worth: float  # share of the worth when the call stands after the aim
+    weight: float
+    late_weight: float  # share of the weight when the call is established after its target
     pools: tuple[int, ...] | None = None  # pools it may go to; None: any
     hold_ms: float | None = None  # how long its calls last on average
 
     def __post_init__(self) -> None:
         _require(self.hold_ms is None or _finite(self.hold_ms, 0, above=True), "hold_ms", self.hold_ms)
-        _require(_finite(self.aim_ms, 0, above=True), "aim_ms", self.aim_ms)
+        _require(_finite(self.target_ms, 0, above=True), "aim_ms", self.target_ms)
         _require(_finite(self.deadline_ms, 0, above=True), "deadline_ms", self.deadline_ms)
-        _require(_finite(self.worth, 0, above=True), "worth", self.worth)
-        _require(_finite(self.late_worth, 0), "late_worth", self.late_worth)
+        _require(_finite(self.weight, 0, above=True), "worth", self.weight)
+        _require(_finite(self.late_weight, 0), "late_worth", self.late_weight)
 
 
 @dataclass(frozen=True, slots=True)
-class Contract:
-    """A customer's contract; traffic above its quota earns ``Settings.over_quota_worth`` of its worth."""
+class Tenant:
+    """A tenant; traffic above its quota earns ``Settings.over_quota_weight`` of its weight."""
 
     name: str
     quota_per_s: float  # over all gateways
@@ -117,14 +117,15 @@
     answer_slack_ms: float
     cold_share: float
     warm_within_ms: float
-    tip_multiple: float
-    tip_span_ms: float
+    overload_multiple: float  # of what it can do now: a cold server sent more for ...
+    overload_span_ms: float  # ... so long collapses
 
     def __post_init__(self) -> None:
         for name in ("release_ms", "drain_grace_ms", "answer_slack_ms", "warm_within_ms"):
             _require(_finite(getattr(self, name), 0), name, getattr(self, name))
-        for name in ("tip_multiple", "tip_span_ms"):
-            _require(_finite(getattr(self, name), 0, above=True), name, getattr(self, name))
+        spans = ("tip_multiple", self.overload_multiple), ("overload_for_ms", self.overload_span_ms)
+        for name, value in spans:
+            _require(_finite(value, 0, above=True), name, value)
         share = self.cold_share
         _require(_finite(share, 0, above=True) and share <= 1, "cold_share", share)
 
@@ -144,8 +145,8 @@
     max_attempts: int
     tick_ms: float  # events come no closer together than this
     resend_ms: float | None = None  # a waiting set-up is repeated after this and then at doubling gaps
-    contracts: tuple[Contract, ...] = ()
-    over_quota_worth: float = 1.0
+    tenants: tuple[Tenant, ...] = ()
+    over_quota_weight: float = 1.0
     reports: ReportSource = ReportSource.NONE
     report_fields: tuple[ReportField, ...] = ()
     probes_allowed: bool = False
@@ -159,7 +160,7 @@
         _require(len(self.classes) > 0, "classes", self.classes)
         _require(len({c.name for c in self.classes}) == len(self.classes), "classes", self.classes)
         _require(_finite(self.tick_ms, 0), "tick_ms", self.tick_ms)
-        _require(_finite(self.over_quota_worth, 0), "over_quota_worth", self.over_quota_worth)
+        _require(_finite(self.over_quota_weight, 0), "over_quota_worth", self.over_quota_weight)
         for name in ("resend_ms", "retry_after_max_ms"):
             value = getattr(self, name)
             _require(value is None or _finite(value, 0, above=True), name, value)
@@ -194,9 +195,9 @@
 
     id: str
     class_name: str
-    gives_up_ms: float  # when the caller abandons this try
-    first_choice: int  # the pool it would rather go to
-    contract: str | None = None
+    expires_ms: float  # when the caller abandons this try
+    preferred_pool: int
+    tenant: str | None = None
     number: str | None = None  # the number called
     redialled: bool = False  # the caller says that this is a further try
     was_cut: bool = False  # it stood before and was cut
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -345,10 +345,10 @@
             class_name=message.text(isup.Parameter.CLASS),
             tenant=message.text(isup.Parameter.TENANT) if self._figures.tenants else None,
             number=number,
-            first_choice=figures.get("dest", -1),
+            preferred_pool=figures.get("dest", -1),
             was_cut=figures.get("again") == 1,
             # The wait counts from when the caller sent it: earlier than now by as much as we looked late.
-            gives_up_ms=turns.now_ms - turns.lateness_ms + wait_ms,
+            expires_ms=turns.now_ms - turns.lateness_ms + wait_ms,
             description=description,
             origin=stream,
         )
--- a/canvasplank/policy.py
+++ b/canvasplank/policy.py
@@ -183,9 +183,9 @@
         self.call_class = call_class
         self.part = part  # of its class's worth that it has: less past its customer's share
         self.arrived_ms = now_ms
-        self.margin_ms = max(0.0, min(MARGIN_MS, MARGIN_SHARE * (call.gives_up_ms - now_ms)))
+        self.margin_ms = max(0.0, min(MARGIN_MS, MARGIN_SHARE * (call.expires_ms - now_ms)))
         self.first_ms = first_ms
-        self.aim_ms = first_ms + call_class.aim_ms  # counted from the caller's first try
+        self.target_ms = first_ms + call_class.target_ms  # counted from the caller's first try
         self.attempts = 0
         self.cancelled = False
         self.failed_at: str | None = None  # the server where its latest attempt failed
@@ -212,8 +212,8 @@
         self._standing: dict[str, CallState] = {}  # those that stand, until they end
         # First tries of calls that may be dialled again, with the time of the note, which is their order.
         self._unserved: OrderedDict[tuple[str, str], tuple[float, float, float]] = OrderedDict()
-        quotas = sum(c.quota_per_s for c in settings.contracts)
-        self._parts = {c.name: c.quota_per_s / quotas for c in settings.contracts if quotas}
+        quotas = sum(c.quota_per_s for c in settings.tenants)
+        self._parts = {c.name: c.quota_per_s / quotas for c in settings.tenants if quotas}
         self._credit = dict.fromkeys(self._parts, CREDIT_MOST)
         self._busy: dict[str, tuple[float, float]] = {}  # numbers found busy: when to try again, the gap then
         self._memory_ms = max(c.deadline_ms for c in settings.classes)
@@ -222,17 +222,17 @@
         self._alarms = 0
         self._woke_ms = -1.0  # the instant at which a standstill of ours was noticed
         self._tick_ms = max(settings.tick_ms, 1.0)
-        aim = min(c.aim_ms for c in settings.classes)
+        aim = min(c.target_ms for c in settings.classes)
         self._silent_ms = min(settings.resend_ms or aim, aim)
         self._pressed_ms = PRESSED_SHARE * self._silent_ms
-        self._least_worth = min(c.worth for c in settings.classes)
+        self._least_weight = min(c.weight for c in settings.classes)
         holds = [c.hold_ms for c in settings.classes if c.hold_ms is not None]
         self._hold_ms = sum(holds) / len(holds) if holds else None
-        parts = {1.0, settings.over_quota_worth if self._parts else 1.0}
-        worths = sorted({c.worth * part * late for c in settings.classes for part in parts
-                         for late in (1.0, c.late_worth)})
-        step = (HIGHEST_THRESHOLD - LOWEST_THRESHOLD) / max(1, len(worths) - 1)
-        self._thresholds = {worth: LOWEST_THRESHOLD + step * rank for rank, worth in enumerate(worths)}
+        parts = {1.0, settings.over_quota_weight if self._parts else 1.0}
+        weights = sorted({c.weight * part * late for c in settings.classes for part in parts
+                         for late in (1.0, c.late_weight)})
+        step = (HIGHEST_THRESHOLD - LOWEST_THRESHOLD) / max(1, len(weights) - 1)
+        self._thresholds = {weight: LOWEST_THRESHOLD + step * rank for rank, weight in enumerate(weights)}
 
     # ------------------------------------------------------------------------------------------------ events
 
@@ -341,7 +341,7 @@
         known = None
         if call.number is not None and not call.was_cut:
             known = self._unserved.pop((call.number, call.class_name), None)
-        first_ms, _, part = known or (self._now, self._now, self._part_of_worth(call))
+        first_ms, _, part = known or (self._now, self._now, self._part_of_weight(call))
         state = self._calls[call.id] = CallState(call, call_class, self._now, first_ms, part)
         self._offer(state)
         if len(self._held) > HELD_MOST:
@@ -506,9 +506,9 @@
         rules = self._settings.rules
         guess = self._share(view) * (COLD_BY_LINES if view.capacity is None else COLD_BY_POOL)
         safe = COLD_BY_REPORT if self._now < view.told_ms + FRESH_MS else guess
-        known = safe * rules.tip_multiple * (self._fair(view) or 0.0)
+        known = safe * rules.overload_multiple * (self._fair(view) or 0.0)
         proven = max(0.0, view.lately(self._now) - SECOND_MS / LOOK_BACK_MS)  # a single answer is chance
-        return max(FLOOR_RATE / view.senders, known, min(COLD_TIMES, rules.tip_multiple) * proven)
+        return max(FLOOR_RATE / view.senders, known, min(COLD_TIMES, rules.overload_multiple) * proven)
 
     def _settle(self, view: ServerView) -> None:
         """Bring a bucket up to now: what leaked, and what its rate grew in quiet seconds.
@@ -586,23 +586,23 @@
 
     # ---------------------------------------------------------------------------------------- state of calls
 
-    def _worth(self, call: CallState) -> float:
-        late = self._now >= call.aim_ms
-        return call.call_class.worth * call.part * (call.call_class.late_worth if late else 1.0)
+    def _weight(self, call: CallState) -> float:
+        late = self._now >= call.target_ms
+        return call.call_class.weight * call.part * (call.call_class.late_weight if late else 1.0)
 
-    def _part_of_worth(self, call: api.Call) -> float:
+    def _part_of_weight(self, call: api.Call) -> float:
         """Exception (customers' shares): each call credits all with their parts and takes one of its own."""
-        if call.contract not in self._parts:
+        if call.tenant not in self._parts:
             return 1.0
         for name, part in self._parts.items():
             self._credit[name] = min(CREDIT_MOST, self._credit[name] + part)
-        within = self._credit[call.contract] >= 1.0
-        self._credit[call.contract] -= within
-        return 1.0 if within else self._settings.over_quota_worth
+        within = self._credit[call.tenant] >= 1.0
+        self._credit[call.tenant] -= within
+        return 1.0 if within else self._settings.over_quota_weight
 
     def _rank(self, call: CallState) -> tuple[float, float]:
         """Most worth first; among equals the newest, which has most of its aim left."""
-        return self._worth(call), call.arrived_ms
+        return self._weight(call), call.arrived_ms
 
     def _forget(self, call: CallState) -> None:
         """Drop an unserved call, remembering when it first came.
@@ -640,7 +640,7 @@
         self._refuse(call)
 
     def _ends_ms(self, call: CallState) -> float:
-        return call.call.gives_up_ms - call.margin_ms - MARGIN_TICKS * self._tick_ms
+        return call.call.expires_ms - call.margin_ms - MARGIN_TICKS * self._tick_ms
 
     # -------------------------------------------------------------------------------------------------- look
 
@@ -655,7 +655,7 @@
             again_ms = min(again_ms, self._mind(call))
         stuck: set[tuple] = set()
         for call in sorted(self._held.values(), key=self._rank, reverse=True):
-            like = call.call_class.pools, call.call.contract, call.attempts > 0  # budgets tell these apart
+            like = call.call_class.pools, call.call.tenant, call.attempts > 0  # budgets tell these apart
             if like in stuck and self._now < self._ends_ms(call):
                 again_ms = min(again_ms, self._ends_ms(call))
             else:  # where a call found no room, one of less worth finds none
@@ -713,7 +713,7 @@
     def _room_at(self, call: CallState) -> float:
         """When a server may next take a call that finds no room now, by time alone; rates grow meanwhile."""
         at_ms = self._now + SECOND_MS
-        threshold = self._thresholds[self._worth(call)]
+        threshold = self._thresholds[self._weight(call)]
         for view in self._servers.values():
             if self._serves(view, call) and (not view.silent or not view.pending):
                 ready_ms = view.trial_ms if view.silent else view.bucket.admits_at(threshold)
@@ -724,11 +724,11 @@
         """The route rule: first choice while its bucket admits it, else the idler of two drawn at random."""
         serving = [v for v in self._servers.values() if self._serves(v, call)]
         # Exception (silence): one set-up at a time tries whether a silent server is back.
-        if self._worth(call) <= self._least_worth:
+        if self._weight(call) <= self._least_weight:
             yield from (v for v in serving if v.silent and self._now >= v.trial_ms and not v.pending)
         # Exception (failures): after a failed attempt other servers come first, the same one last.
         again = [v for v in serving if v.server_id == call.failed_at]
-        first = [v for v in serving if v.pool == call.call.first_choice and v not in again]
+        first = [v for v in serving if v.pool == call.call.preferred_pool and v not in again]
         yield from (v for v in first if self._admits(v, call))
         others = [v for v in serving if v not in first and v not in again and self._admits(v, call)]
         yield from sorted(self._draw_two(others), key=lambda v: len(v.pending))
@@ -749,7 +749,7 @@
     def _admits(self, view: ServerView, call: CallState) -> bool:
         self._settle(view)
         return (not view.silent and self._warm_at(view) <= self._now
-                and view.bucket.admits(self._thresholds[self._worth(call)])
+                and view.bucket.admits(self._thresholds[self._weight(call)])
                 and self._budget_at(view, call) <= self._now)
 
     def _budget_at(self, view: ServerView, call: CallState, *, take: bool = False) -> float:
--- a/canvasplank/settings.py
+++ b/canvasplank/settings.py
@@ -198,7 +198,7 @@
         raise ConfigurationError(f"settings: widths: {fault}") from None
     return Figures(
         classes=frozenset(c.name for c in settings.classes),
-        tenants=frozenset(c.name for c in settings.contracts),
+        tenants=frozenset(c.name for c in settings.tenants),
         pools=None if None in pools else frozenset(number for each in pools for number in each),
         most_width=max(widths) if widths else None,
     )
@@ -236,10 +236,10 @@
         classes = tuple(
             api.CallClass(
                 name=profile["name"],
-                aim_ms=profile["aim_ms"],
+                target_ms=profile["aim_ms"],
                 deadline_ms=profile["deadline_ms"],
-                worth=profile["worth"],
-                late_worth=profile["late_worth"],
+                weight=profile["worth"],
+                late_weight=profile["late_worth"],
                 pools=None if pools is None else tuple(pools[number]),
                 hold_ms=holds[number] if number < len(holds) else None,
             )
@@ -254,16 +254,16 @@
                 answer_slack_ms=rules["answer_slack_ms"],
                 cold_share=rules["cold_share"],
                 warm_within_ms=rules["warm_within_ms"],
-                tip_multiple=rules["tip_multiple"],
-                tip_span_ms=rules["overload_for_ms"],
+                overload_multiple=rules["tip_multiple"],
+                overload_span_ms=rules["overload_for_ms"],
             ),
             max_attempts=ceilings["most_tries"],
             tick_ms=options["tick_ms"],
             resend_ms=known(family.get("resend_ms")) or None,
-            contracts=tuple(
-                api.Contract(tenant["name"], tenant["quota_per_s"]) for tenant in options.get("tenants") or ()
+            tenants=tuple(
+                api.Tenant(tenant["name"], tenant["quota_per_s"]) for tenant in options.get("tenants") or ()
             ),
-            over_quota_worth=options.get("over_share_worth", 1.0),
+            over_quota_weight=options.get("over_share_worth", 1.0),
             reports=_SOURCES[report["via"]],
             report_fields=tuple(REPORT_FIELDS[name] for name in report["names"] if name in REPORT_FIELDS),
             probes_allowed=ceilings["probes"],
--- a/canvasplank/wirehost.py
+++ b/canvasplank/wirehost.py
@@ -109,14 +109,14 @@
         return api.ServerList(_LIST_KINDS[message[3]], self._lists[message[2]])
 
     def _request(self, message: list[Any]) -> api.Event:
-        _, _, call, gives_up, _units, flags, _cost, _advice, number, contract, class_name, pool = message
+        _, _, call, gives_up, _units, flags, _cost, _advice, number, tenant, class_name, pool = message
         flags = flags or 0
         return api.Call(
             id=call,
             class_name=class_name,
-            gives_up_ms=gives_up,
-            first_choice=pool,
-            contract=contract or None,
+            expires_ms=gives_up,
+            preferred_pool=pool,
+            tenant=tenant or None,
             number=number,
             redialled=bool(flags & _REDIALLED),
             was_cut=bool(flags & _WAS_CUT),
--- a/experiments/simulation.py
+++ b/experiments/simulation.py
@@ -296,7 +296,7 @@
             self.end(call_id, "lost")
             return
         self._rng.choice(self.ready).call(api.Call(call_id, self._rng.choice(self._classes), now_ms + WAIT_MS,
-                              first_choice=self._rng.randrange(len(self.processors))))
+                              preferred_pool=self._rng.randrange(len(self.processors))))
 
 
 def play(experiment: Experiment, variant: Variant, size: int, seed: int) -> Observed:
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -25,7 +25,7 @@
 
     name: str
     share: float
-    worth: float
+    weight: float
     aim_s: float
     wait_s: float
 
@@ -167,7 +167,7 @@
 
 def service(tries: list[Try]) -> float:
     """Worth answered within its aim, and a tenth of it later, over the worth asked for."""
-    asked = sum(t.kind.worth for t in tries)
+    asked = sum(t.kind.weight for t in tries)
     served = [t for t in tries if t.outcome == "served"]
-    got = sum(t.kind.worth * (1.0 if t.took_s <= t.kind.aim_s else 0.1) for t in served)
+    got = sum(t.kind.weight * (1.0 if t.took_s <= t.kind.aim_s else 0.1) for t in served)
     return got / asked if asked else 1.0
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,11 +15,11 @@
     answer_slack_ms=20,
     cold_share=0.3,
     warm_within_ms=10_000,
-    tip_multiple=3,
-    tip_span_ms=1000,
+    overload_multiple=3,
+    overload_span_ms=1000,
 )
-LOW = api.CallClass("low", aim_ms=1600, deadline_ms=9000, worth=1, late_worth=0.1)
-HIGH = api.CallClass("high", aim_ms=1200, deadline_ms=6000, worth=5, late_worth=0.1)
+LOW = api.CallClass("low", target_ms=1600, deadline_ms=9000, weight=1, late_weight=0.1)
+HIGH = api.CallClass("high", target_ms=1200, deadline_ms=6000, weight=5, late_weight=0.1)
 SETTINGS = api.Settings(
     instances=4,
     classes=(LOW, HIGH),
@@ -78,8 +78,8 @@
     def call(self, class_name: str = "low", first: int = 0, **more) -> tuple[str, list[api.Action]]:
         self.calls += 1
         call_id = more.pop("id", f"call-{self.calls}")
-        more.setdefault("gives_up_ms", self.now + 3000)
-        return call_id, self.tell(api.Call(call_id, class_name, first_choice=first, **more))
+        more.setdefault("expires_ms", self.now + 3000)
+        return call_id, self.tell(api.Call(call_id, class_name, preferred_pool=first, **more))
 
     def answer(self, call_id: str, server: str, waited_ms: float = 40) -> list[api.Action]:
         return self.tell(api.Established(call_id, self.attempts[call_id], server, waited_ms))
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -214,7 +214,7 @@
     def test_without_an_allowance_it_waits_for_ever(self):
         assert Bucket(250.0, 0.0).wait_ms(0) == float("inf")
 
-    @pytest.mark.parametrize(("kind", "of", "contract", "attempt", "server", "covered"), [
+    @pytest.mark.parametrize(("kind", "of", "tenant", "attempt", "server", "covered"), [
         ("set-ups", "", None, 0, "s", True),
         ("set-ups", "", "acme", 3, "s", True),
         ("member", "acme", "acme", 0, "s", True),
@@ -225,8 +225,8 @@
         ("server", "s", None, 1, "s", True),
         ("server", "s", None, 0, "t", False),
     ])
-    def test_what_a_budget_covers(self, kind, of, contract, attempt, server, covered):
-        assert Scope(kind, of).covers(contract, attempt, server) is covered
+    def test_what_a_budget_covers(self, kind, of, tenant, attempt, server, covered):
+        assert Scope(kind, of).covers(tenant, attempt, server) is covered
 
     def test_a_unit_of_each_or_none(self):
         _, [holder] = joined("a")
@@ -367,11 +367,11 @@
         def spend(call, attempt, server_id, take):
             if take:
                 asked.append((call.id, attempt, server_id))
-            return 300.0 if call.contract == "acme" and g.now < 1000 else 0.0
+            return 300.0 if call.tenant == "acme" and g.now < 1000 else 0.0
 
         g.controller.spend = spend
-        held_id, actions = g.call(contract="acme")
-        other_id, others = g.call(contract="beta")
+        held_id, actions = g.call(tenant="acme")
+        other_id, others = g.call(tenant="beta")
         assert not sent_to(actions) and sent_to(others) == ["a"]
         timers = len(g.timers)
         g.until(900)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -46,7 +46,7 @@
             credit[index] += calls_per_s / 20 * weights[index] / total
             while credit[index] >= 1:
                 credit[index] -= 1
-                g.call(gives_up_ms=now + 3000)
+                g.call(expires_ms=now + 3000)
             for when, action in g.done[mark:]:
                 if isinstance(action, api.SetUp) and action.server_id == "a":
                     sent.append(when)
@@ -68,7 +68,7 @@
 
     def within_limit(self, sent: list[float], born: float) -> bool:
         """No span from any set-up on holds more than the multiple of what the server can do at that time."""
-        span, budget = RULES.tip_span_ms, RULES.tip_multiple * RULES.tip_span_ms / 1000
+        span, budget = RULES.overload_span_ms, RULES.overload_multiple * RULES.overload_span_ms / 1000
         return all(sum(at <= s < at + span for s in sent) <= budget * self.present(at - born) for at in sent)
 
     @pytest.mark.parametrize("instances", [1, 7, 250])
@@ -256,7 +256,7 @@
     def test_what_is_past_its_time_is_not_sent(self):
         g, _ = self.stall(1800)
         g.done.clear()
-        _, actions = g.call(first=1, gives_up_ms=g.now - 300)
+        _, actions = g.call(first=1, expires_ms=g.now - 300)
         assert [type(a) for a in actions if not isinstance(a, api.SetTimer)] == [api.Fail]
 
 
@@ -275,7 +275,7 @@
     def test_held_calls_wait_for_the_next_room_not_for_the_clock(self):
         g = Gateway()
         for _ in range(50):
-            g.call(gives_up_ms=10_000)
+            g.call(expires_ms=10_000)
         g.until(9000)
         assert sum(isinstance(a, api.SetTimer) for _, a in g.done) <= 12
 
@@ -283,14 +283,14 @@
         """A redial is noted anew with its old first try; what was noted first still goes first."""
         g = Gateway()
         for number in ("1", "2", "1", "3"):
-            g.call(number=number, gives_up_ms=g.now)
+            g.call(number=number, expires_ms=g.now)
             g.until(g.now + 100)
         unserved = g.controller._unserved
         assert [key for key, _ in unserved] == ["2", "1", "3"]
         noted = [at for _, at, _ in unserved.values()]
         assert noted == sorted(noted) and unserved["1", "low"][0] == 0
         g.until(SETTINGS.classes[0].deadline_ms + 250)
-        g.call(number="4", gives_up_ms=g.now)
+        g.call(number="4", expires_ms=g.now)
         assert [key for key, _ in unserved] == ["3", "4"]
 
 
@@ -355,7 +355,7 @@
     g = Gateway()
     g.servers(ready("a", 0))
     g.steady("a", 0, 24, gap_ms=100)
-    g.call(gives_up_ms=g.now + 1000)
+    g.call(expires_ms=g.now + 1000)
     g.until(g.now + 900)
     rate = g.controller._servers["a"].bucket.rate
     g.until(g.now + 600)
@@ -368,7 +368,7 @@
 def test_a_silent_server_is_tried_on_the_scale_of_the_first_resend():
     g = Gateway(settings(resend_ms=125))
     g.servers(ready("a", 0))
-    g.call(gives_up_ms=g.now + 300)
+    g.call(expires_ms=g.now + 300)
     g.until(500)
     _, actions = g.call()
     assert sent_to(actions) == ["a"]
@@ -381,7 +381,7 @@
         g = Gateway()
         g.servers(ready("a", 0), ready("b", 1))
         g.steady("a", 0, 8)
-        lost, _ = g.call(gives_up_ms=g.now + 8000)
+        lost, _ = g.call(expires_ms=g.now + 8000)
         g.until(g.now + 200)
         g.steady("a", 0, 2)
         return g, lost
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -35,7 +35,7 @@
 def test_1_in_time_and_only_while_owed(held, late):
     controller, call, view = held
     if late == "time is up":
-        controller._now = call.call.gives_up_ms - 1
+        controller._now = call.call.expires_ms - 1
     else:
         del controller._calls[call.call.id]
     assert not sends(controller, call, view)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -121,7 +121,7 @@
 
     def test_grows_in_quiet_seconds(self):
         g = self.full_after(0)
-        g.call(first=0, gives_up_ms=g.now + 20_000)
+        g.call(first=0, expires_ms=g.now + 20_000)
         g.until(g.now + 100)
         before = g.controller._servers["a"].bucket.rate
         g.servers(ready("a", 0), kind=api.ListKind.CHANGES)
@@ -180,7 +180,7 @@
         view = gateway.controller._servers["a"]
         view.bucket.rate = 1.0
         for _ in range(3):
-            gateway.call(first=0, gives_up_ms=gateway.now + 9000)
+            gateway.call(first=0, expires_ms=gateway.now + 9000)
         for _ in range(50):
             gateway.until(gateway.now + 100)
             view.heard_ms = gateway.now
@@ -276,7 +276,7 @@
 
     def test_a_redial_ranks_by_its_first_try(self):
         g = Gateway()
-        g.call(number="77", gives_up_ms=500)
+        g.call(number="77", expires_ms=500)
         g.until(2000)
         g.call(number="77", id="redial")
         g.call(number="78", id="fresh")
@@ -286,16 +286,16 @@
     @pytest.mark.parametrize("second", [{"number": "78"}, {"number": "77", "was_cut": True}, {}])
     def test_others_do_not(self, second):
         g = Gateway()
-        g.call(number="77", gives_up_ms=500)
+        g.call(number="77", expires_ms=500)
         g.until(2000)
         call_id, _ = g.call(**second)
-        assert g.controller._calls[call_id].aim_ms == 2000 + LOW.aim_ms
+        assert g.controller._calls[call_id].target_ms == 2000 + LOW.target_ms
 
     def test_memory_is_bounded(self, monkeypatch):
         monkeypatch.setattr(policy, "REDIALS_MOST", 50)
         g = Gateway()
         for number in range(300):
-            g.call(number=str(number), gives_up_ms=g.now)
+            g.call(number=str(number), expires_ms=g.now)
         assert len(g.controller._unserved) <= 51
 
 
@@ -305,7 +305,7 @@
     def test_1_final_answer_before_the_time_is_up(self, gateway):
         held = Gateway()
         for g in (gateway, held):
-            call_id, _ = g.call(gives_up_ms=g.now + 1000)
+            call_id, _ = g.call(expires_ms=g.now + 1000)
             due = g.now + 1000
             g.until(due + 500)
             final = [(when, a) for when, a in g.done if isinstance(a, api.Refuse | api.Fail)]
@@ -445,11 +445,11 @@
 
     def test_a_clock_that_steps_back_stands_still(self, gateway):
         gateway.until(1000)
-        call_id, _ = gateway.call(gives_up_ms=1500)
+        call_id, _ = gateway.call(expires_ms=1500)
         gateway.now = 200
         gateway.answer(call_id, "a")
         gateway.now = 900
-        assert sent_to(gateway.call(gives_up_ms=1500)[1]) == ["a"]
+        assert sent_to(gateway.call(expires_ms=1500)[1]) == ["a"]
 
     def test_the_same_call_twice_is_one_call(self, gateway):
         gateway.call(id="x")
@@ -501,7 +501,7 @@
             ({"tick_ms": -1}, "tick_ms"),
             ({"tick_ms": float("nan")}, "tick_ms"),
             ({"resend_ms": 0}, "resend_ms"),
-            ({"over_quota_worth": None}, "over_quota_worth"),
+            ({"over_quota_weight": None}, "over_quota_worth"),
         ],
     )
     def test_what_cannot_be_is_named(self, change, name):
@@ -529,7 +529,7 @@
     @pytest.mark.parametrize(("wait_ms", "fails_ms"), [(100, 80), (3000, 2965)])
     def test_a_short_wait_is_used_up_to_its_last_tenth(self, gateway, wait_ms, fails_ms):
         began_ms = gateway.now
-        gateway.call(first=0, gives_up_ms=began_ms + wait_ms)
+        gateway.call(first=0, expires_ms=began_ms + wait_ms)
         gateway.until(began_ms + wait_ms)
         assert [at - began_ms for at, action in gateway.done if isinstance(action, api.Fail)] == [fails_ms]
 
@@ -657,18 +657,18 @@
         if told:
             gateway.tell(api.ProbeAnswered("c", answered=True, report=report(told)))
         sum_of_all = gateway.controller._cold_rate(view) * SETTINGS.instances
-        assert sum_of_all == pytest.approx(most_share * RULES.tip_multiple * (told or 100.0), rel=0.01)
-        assert sum_of_all < RULES.tip_multiple * (told or RULES.cold_share * 100.0)
+        assert sum_of_all == pytest.approx(most_share * RULES.overload_multiple * (told or 100.0), rel=0.01)
+        assert sum_of_all < RULES.overload_multiple * (told or RULES.cold_share * 100.0)
 
     def test_what_a_server_told_before_its_restart_is_no_measure_of_the_cold_one(self, gateway):
         gateway.tell(api.ProbeAnswered("a", answered=True, report=report(100.0)))
         gateway.servers(ready("a", 0, started_ms=gateway.now + 1), ready("b", 1))
         rate = gateway.controller._cold_rate(gateway.controller._servers["a"])
-        assert rate * SETTINGS.instances < RULES.tip_multiple * RULES.cold_share * 100.0
+        assert rate * SETTINGS.instances < RULES.overload_multiple * RULES.cold_share * 100.0
 
     def test_a_cold_servers_answers_widen_its_budget_whatever_the_rules_multiple(self):
         """With a multiple of 2 the budget shrank below what the server had just answered."""
-        g = Gateway(settings(rules=replace(RULES, tip_multiple=2.0)))
+        g = Gateway(settings(rules=replace(RULES, overload_multiple=2.0)))
         g.servers(ready("a", 0, started_ms=0.0))
         view = g.controller._servers["a"]
         view.answered.extend(g.now + policy.LOOK_BACK_MS * i / 40 for i in range(40))
@@ -680,33 +680,33 @@
 class TestMembers:
     """Customers with shares."""
 
-    MEMBERS = (api.Contract("big", 9.0), api.Contract("small", 1.0))
+    MEMBERS = (api.Tenant("big", 9.0), api.Tenant("small", 1.0))
 
-    def worths(self, contracts):
-        g = Gateway(settings(contracts=self.MEMBERS, over_quota_worth=0.2))
-        worths = []
-        for contract in contracts:
-            call_id, _ = g.call(contract=contract)
-            worths.append(g.controller._worth(g.controller._calls[call_id]))
+    def weights(self, tenants):
+        g = Gateway(settings(tenants=self.MEMBERS, over_quota_weight=0.2))
+        weights = []
+        for tenant in tenants:
+            call_id, _ = g.call(tenant=tenant)
+            weights.append(g.controller._weight(g.controller._calls[call_id]))
             g.until(g.now + 100)
-        return worths
+        return weights
 
     def test_what_goes_past_a_share_is_worth_less(self):
-        worths = self.worths(["big", "small"] * 50)
-        assert set(worths[0::2]) == {1.0}, "less than its part of the traffic"
-        assert worths[21::2].count(0.2) == pytest.approx(40 * 0.8, abs=2), "a half, where a tenth is its own"
+        weights = self.weights(["big", "small"] * 50)
+        assert set(weights[0::2]) == {1.0}, "less than its part of the traffic"
+        assert weights[21::2].count(0.2) == pytest.approx(40 * 0.8, abs=2), "a half, where a tenth is its own"
 
     def test_within_the_shares_all_are_worth_the_whole(self):
-        assert set(self.worths((["big"] * 9 + ["small"]) * 10)) == {1.0}
+        assert set(self.weights((["big"] * 9 + ["small"]) * 10)) == {1.0}
 
     @pytest.mark.parametrize("unknown", [None, "nobody"])
     def test_a_member_that_the_settings_do_not_know_has_no_share_to_pass(self, unknown):
-        assert set(self.worths([unknown] * 30)) == {1.0}
+        assert set(self.weights([unknown] * 30)) == {1.0}
 
     def test_a_redial_counts_with_its_first_try(self):
-        g = Gateway(settings(contracts=self.MEMBERS, over_quota_worth=0.2))
+        g = Gateway(settings(tenants=self.MEMBERS, over_quota_weight=0.2))
         for _ in range(30):
-            call_id, _ = g.call(contract="small", number="n")
+            call_id, _ = g.call(tenant="small", number="n")
             part = g.controller._calls[call_id].part
             g.tell(api.CallerGone(call_id))
         assert part == 1.0, "thirty tries of one call"
--- a/tests/test_rules_property.py
+++ b/tests/test_rules_property.py
@@ -104,7 +104,7 @@
             case ("call", name, pool, left, number):
                 due = self.owed[f"call-{self.g.calls + 1}"] = self.g.now + left
                 self.gives_up[f"call-{self.g.calls + 1}"] = due
-                self.g.call(name, pool, gives_up_ms=self.g.now + left, number=str(number))
+                self.g.call(name, pool, expires_ms=self.g.now + left, number=str(number))
             case ("answer", which, what) if self.out:
                 call = sorted(self.out)[which % len(self.out)]
                 if what == "stand":
@@ -162,7 +162,7 @@
     g = Gateway(seed=seed)
     g.servers(api.Server("a", 0, api.ServerState.READY))
     for _ in range(warm_calls):
-        call, actions = g.call(gives_up_ms=g.now + 2000)
+        call, actions = g.call(expires_ms=g.now + 2000)
         g.until(g.now + 1000 / capacity)
         if sent_to(actions):
             g.answer(call, "a", 1000 / capacity)
@@ -173,7 +173,7 @@
     seen, free_at = 0, born
     waiting: list[tuple[float, str]] = []
     for gap in gaps:
-        g.call(gives_up_ms=g.now + 3000)
+        g.call(expires_ms=g.now + 3000)
         target = g.now + gap
         while True:
             for when, action in g.done[seen:]:
@@ -191,7 +191,7 @@
                 if call in g.controller._calls and silence:
                     g.answer(call, "a", 50)
         g.until(target)
-    span = RULES.tip_span_ms
+    span = RULES.overload_span_ms
     for index, at in enumerate(sends):
         count = sum(at - span < s <= at for s in sends[: index + 1])
-        assert count <= RULES.tip_multiple * capacity * cold_share(at - born) * span / 1000 + 1
+        assert count <= RULES.overload_multiple * capacity * cold_share(at - born) * span / 1000 + 1
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -172,7 +172,7 @@
             gateway.servers(api.Server("a", 0, api.ServerState.READY, None, None, begin_per_s))
             gateway.alive["a"] = 40
             for _ in range(3):
-                gateway.call(gives_up_ms=9000, class_name=class_name)
+                gateway.call(expires_ms=9000, class_name=class_name)
             gateway.until(8000)
             sent += [at for at, action in gateway.done if isinstance(action, api.SetUp)]
         first = sum(at < 1000 for at in sent)
