--- a/canvasplank/codecs/isup.py
+++ b/canvasplank/codecs/isup.py
@@ -91,7 +91,7 @@
         return bool(self._buffer)
 
     @property
-    def held(self) -> int:
+    def buffered(self) -> int:
         """Bytes of a message that is not whole."""
         return len(self._buffer)
 
--- a/canvasplank/codecs/sip.py
+++ b/canvasplank/codecs/sip.py
@@ -73,7 +73,7 @@
         return bool(self._buffer) or self._head is not None
 
     @property
-    def held(self) -> int:
+    def buffered(self) -> int:
         """Bytes of a message that is not whole."""
         return len(self._buffer)
 
--- a/canvasplank/codecs/sse.py
+++ b/canvasplank/codecs/sse.py
@@ -45,10 +45,10 @@
     @property
     def in_message(self) -> bool:
         """Whether an event has begun and is not whole."""
-        return bool(self.held)
+        return bool(self.buffered)
 
     @property
-    def held(self) -> int:
+    def buffered(self) -> int:
         """Bytes of an event that is not whole."""
         return len(self._raw) + len(self._text) + sum(map(len, self._data))
 
--- a/canvasplank/exchange.py
+++ b/canvasplank/exchange.py
@@ -22,7 +22,7 @@
 LOG = logging.getLogger(__name__)
 NORMAL_CLEARING = 16  # Q.850: the cause of a call's ordinary end
 CUT_CAUSE = 41  # Q.850: temporary failure, the cause of a call that was cut
-TAKEN_BACK_CAUSE = 31  # Q.850: normal, unspecified: nobody waits for this answer any more
+UNWANTED_ANSWER_CAUSE = 31  # Q.850: normal, unspecified: nobody waits for this answer any more
 ENDED_MOST = 8192  # ids of calls that are over, remembered so that a release heard twice is passed on once
 DESCRIPTIONS_PART = 1 / 8  # of the memory: the most that descriptions of calls without an answer may take
 
@@ -81,7 +81,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Said:
+class RefusalDetails:
     """What a server said with a refusal, beside its outcome."""
 
     processor_full: bool = False
@@ -89,7 +89,7 @@
     report: api.Report | None = None
 
 
-NOTHING_SAID = Said()
+NO_DETAILS = RefusalDetails()
 
 
 @dataclass(slots=True)
@@ -118,10 +118,10 @@
     taken_ms: float = 0.0
     attempts: int = 0
     tried: str | None = None  # the server of its latest attempt
-    out: Attempt | None = None
-    owed: bool = True
-    stands_at: str | None = None  # the server, once the call stands
-    stands_since_ms: float = 0.0
+    in_flight: Attempt | None = None
+    unanswered: bool = True
+    established_at: str | None = None  # the server, once the call stands
+    established_ms: float = 0.0
     deadline: Deadline | None = field(default=None, repr=False)
 
     def is_again(self, other: CallRecord) -> bool:
@@ -145,7 +145,7 @@
         self._most_open = most_open
         self.limit(memory_bytes)
         self._open: dict[str, CallRecord] = {}  # a final answer is owed, or an attempt is out
-        self._standing: dict[str, CallRecord] = {}
+        self._established: dict[str, CallRecord] = {}
         self._ended: OrderedDict[str, None] = OrderedDict()
         self._held_bytes = 0
         self._events: deque[api.Event] = deque()
@@ -154,12 +154,12 @@
     @property
     def open_calls(self) -> int:
         """Calls that lack their final answer."""
-        return sum(call.owed for call in self._open.values())
+        return sum(call.unanswered for call in self._open.values())
 
     @property
-    def standing_calls(self) -> int:
+    def established_calls(self) -> int:
         """Calls that stand."""
-        return len(self._standing)
+        return len(self._established)
 
     def limit(self, memory_bytes: float) -> None:
         """Hold no more than the configuration has room for."""
@@ -171,11 +171,11 @@
         """A caller's set-up; False: its id belongs to another call, and this one is not taken."""
         self.counters.add("taken.set_ups")
         call.taken_ms = self.turns.now_ms
-        known = self._open.get(call.id) or self._standing.get(call.id)
+        known = self._open.get(call.id) or self._established.get(call.id)
         if known is not None:
             # A set-up resent on a new connection is the same call, with one answer.  Guards against handing a
             # call to whoever repeats its id alone: the first caller would lose its answer, the other get it.
-            if not known.owed or not known.is_again(call):  # one that stands is not owed an answer
+            if not known.unanswered or not known.is_again(call):  # one that stands is not owed an answer
                 return False
             if known.origin != call.origin:
                 self.callers.forget(known.origin, call.id)
@@ -205,51 +205,51 @@
         self._count_final(call, final)
         self.callers.reject(call.origin, call.id, final, None)
 
-    def give_up(self, call_id: str, cause: int) -> None:
+    def released_by_caller(self, call_id: str, cause: int) -> None:
         """A release from a caller: of a set-up that it gives up, or of a call that stands."""
         call = self._open.get(call_id)
         if call is not None:
-            self._caller_gone(call)
+            self._abandon(call)
             return
-        call = self._standing.get(call_id)
+        call = self._established.get(call_id)
         if call is not None:
             self.counters.add("taken.releases")
-            self.servers.release(call.stands_at, call_id, cause)
+            self.servers.release(call.established_at, call_id, cause)
             self.callers.forget(call.origin, call_id)
-            self._end_standing(call, api.Outcome.CANCELLED)
+            self._end_established(call, api.Outcome.CANCELLED)
         elif call_id not in self._ended:
             # Guards against losing a release after a restart of ours: the call may stand at any server.
             self.counters.add("taken.releases_unknown")
             self._remember(call_id)
             self.servers.release(None, call_id, cause)
 
-    def caller_lost(self, call_id: str, origin: Hashable) -> None:
+    def caller_disconnected(self, call_id: str, origin: Hashable) -> None:
         """The connection of an unanswered set-up has ended."""
         call = self._open.get(call_id)
-        if call is not None and call.owed and call.origin == origin:
-            self._caller_gone(call)
+        if call is not None and call.unanswered and call.origin == origin:
+            self._abandon(call)
 
-    def _caller_gone(self, call: CallRecord) -> None:
-        if not call.owed:
+    def _abandon(self, call: CallRecord) -> None:
+        if not call.unanswered:
             return
         self.counters.add("taken.given_up")
-        call.owed = False
+        call.unanswered = False
         self.callers.forget(call.origin, call.id)  # the word of it may have come on another connection
         if self.recorder is not None:
             self.recorder.answered(call, "given_up", self.turns.now_ms)
-        self._tell(api.CallerGone(call.id))
-        if call.out is not None:
+        self._tell(api.CallAbandoned(call.id))
+        if call.in_flight is not None:
             self._end_attempt(call, api.Outcome.CANCELLED, cancel=True)
         else:
             self._close(call)
 
     def _overdue(self, call: CallRecord) -> None:
         """The caller's time is up and the module has said nothing: guards rule 1 whatever the module does."""
-        if call.owed:
+        if call.unanswered:
             LOG.warning("call %s: no answer by the caller's time", call.id)
             self._reject(call, Final.FAILED, None)
-            self._tell(api.CallerGone(call.id))
-            if call.out is not None:
+            self._tell(api.CallAbandoned(call.id))
+            if call.in_flight is not None:
                 self._end_attempt(call, api.Outcome.CANCELLED, cancel=True)
 
     # ------------------------------------------------------------------------------------ from the servers
@@ -257,66 +257,68 @@
     def established(self, server_id: str, call_id: str, attempt: int | None, description: bytes) -> None:
         """A server answered a set-up; an answer that nobody waits for is taken back there."""
         call = self._open.get(call_id)
-        if (call is not None and self._is_out(call, server_id, attempt)
+        if (call is not None and self._is_in_flight(call, server_id, attempt)
                 and not self.callers.is_reachable(call.origin)):
             # Guards against a call that stands for nobody: its caller's connection ends in this very turn.
-            self._caller_gone(call)
+            self._abandon(call)
             call = None
-        if call is None or not self._is_out(call, server_id, attempt) or not call.owed:
-            stands = self._standing.get(call_id)
-            if stands is None or stands.stands_at != server_id:
+        if call is None or not self._is_in_flight(call, server_id, attempt) or not call.unanswered:
+            known = self._established.get(call_id)
+            if known is None or known.established_at != server_id:
                 self.counters.add("sent.taken_back")
-                self.servers.release(server_id, call_id, TAKEN_BACK_CAUSE)
+                self.servers.release(server_id, call_id, UNWANTED_ANSWER_CAUSE)
             return
-        out = call.out
-        self.turns.deadlines.discard(out.deadline)
-        call.owed = False
-        call.stands_at, call.stands_since_ms = server_id, self.turns.now_ms
+        in_flight = call.in_flight
+        self.turns.deadlines.discard(in_flight.deadline)
+        call.unanswered = False
+        call.established_at, call.established_ms = server_id, self.turns.now_ms
         self._close(call)
-        self._standing[call_id] = call
+        self._established[call_id] = call
         self.counters.add("answered.stands")
         self.counters.by_class("served", call.class_name)
         if self.recorder is not None:
             self.recorder.answered(call, "served", self.turns.now_ms)
         self.callers.answer(call.origin, call_id, description)
-        self._tell(api.Established(call_id, out.number, server_id, self.turns.now_ms - out.sent_ms))
+        waited_ms = self.turns.now_ms - in_flight.sent_ms
+        self._tell(api.Established(call_id, in_flight.number, server_id, waited_ms))
 
     def ended(self, server_id: str, call_id: str, attempt: int, outcome: api.Outcome,
-              said: Said = NOTHING_SAID) -> None:
+              details: RefusalDetails = NO_DETAILS) -> None:
         """An attempt that was not answered has ended."""
         call = self._open.get(call_id)
-        if call is not None and self._is_out(call, server_id, attempt):
-            self._end_attempt(call, outcome, said=said)
+        if call is not None and self._is_in_flight(call, server_id, attempt):
+            self._end_attempt(call, outcome, details=details)
 
     def released(self, server_id: str, call_id: str, cause: int, report: api.Report | None = None) -> None:
         """A server ended a call that stood."""
-        call = self._standing.get(call_id)
+        call = self._established.get(call_id)
         if call is not None:
-            if call.stands_at != server_id:
+            if call.established_at != server_id:
                 return  # guards against the end of an attempt that was taken back there
             self.counters.add("taken.ends")
             self.callers.release(call.origin, call_id, cause)
             outcome = api.Outcome.ENDED if cause == NORMAL_CLEARING else api.Outcome.RESET
-            self._end_standing(call, outcome, report)
+            self._end_established(call, outcome, report)
         elif call_id not in self._ended and call_id not in self._open:
             # Guards against losing a release after a restart of ours: the caller still counts on the call.
             self.counters.add("taken.ends_unknown")
             self._remember(call_id)
             self.callers.release(None, call_id, cause)
 
-    def lines_told(self, server_id: str, free: float, lines: float) -> None:
+    def circuits_reported(self, server_id: str, free: float, circuits: float) -> None:
         """A server told its free lines."""
         self.counters.add("taken.states")
-        self._tell(api.LinesTold(server_id, free, lines))
+        self._tell(api.CircuitsReported(server_id, free, circuits))
 
     def probe_answered(self, server_id: str, answered: bool, report: api.Report | None = None) -> None:
         """What became of a probe."""
         self._tell(api.ProbeAnswered(server_id, answered, report))
 
     def carries(self, server_id: str) -> bool:
-        """Whether a call stands at this server, or an attempt is out there."""
-        return any(call.stands_at == server_id for call in self._standing.values()) or any(
-            call.out is not None and call.out.server_id == server_id for call in self._open.values())
+        """Whether a call is established at this server, or an attempt in flight there."""
+        in_flight = (call.in_flight for call in self._open.values() if call.in_flight is not None)
+        return (any(call.established_at == server_id for call in self._established.values())
+                or any(attempt.server_id == server_id for attempt in in_flight))
 
     def process_over(self, server_id: str, started_before_ms: float, *, tell_server: bool = False) -> None:
         """A server's process has ended without releasing its calls: release those that it held.
@@ -324,14 +326,14 @@
         With ``tell_server`` it may not have ended, and is told as well.
         Only what stood before ``started_before_ms`` is over; a fresh process may hold calls already.
         """
-        over = [c for c in self._standing.values()
-                if c.stands_at == server_id and c.stands_since_ms < started_before_ms]
+        over = [c for c in self._established.values()
+                if c.established_at == server_id and c.established_ms < started_before_ms]
         for call in over:
             self.counters.add("sent.ends_for_servers")
             self.callers.release(call.origin, call.id, CUT_CAUSE)
             if tell_server:
                 self.servers.release(server_id, call.id, CUT_CAUSE)
-            self._end_standing(call, api.Outcome.RESET)
+            self._end_established(call, api.Outcome.RESET)
 
     # ------------------------------------------------------------------------------------ from the board
 
@@ -347,9 +349,9 @@
 
     def fail_all(self) -> None:
         """The program ends: whatever is still owed an answer gets one."""
-        for call in [c for c in self._open.values() if c.owed]:
+        for call in [c for c in self._open.values() if c.unanswered]:
             self._reject(call, Final.FAILED, None)
-            if call.out is not None:
+            if call.in_flight is not None:
                 self._end_attempt(call, api.Outcome.CANCELLED, cancel=True)
 
     # ------------------------------------------------------------------------------------ the module
@@ -379,7 +381,7 @@
                 self._set_up(call_id, server_id, timeout_ms)
             case api.Cancel(call_id, attempt):
                 call = self._open.get(call_id)
-                if call is not None and call.out is not None and call.out.number == attempt:
+                if call is not None and call.in_flight is not None and call.in_flight.number == attempt:
                     self.counters.add("sent.cancels")
                     self._end_attempt(call, api.Outcome.CANCELLED, cancel=True)
             case api.Refuse(call_id, retry_after_ms):
@@ -396,36 +398,37 @@
 
     def _set_up(self, call_id: str, server_id: str, timeout_ms: float) -> None:
         call = self._open.get(call_id)
-        if call is None or not call.owed or call.out is not None:
+        if call is None or not call.unanswered or call.in_flight is not None:
             LOG.error("set-up for call %s, which cannot have one", call_id)
             return
-        out = call.out = Attempt(call.attempts, server_id, self.turns.now_ms)
+        in_flight = call.in_flight = Attempt(call.attempts, server_id, self.turns.now_ms)
         call.attempts += 1
         call.tried = server_id
-        out.deadline = self.turns.after(timeout_ms, lambda: self._timed_out(call, out))
+        in_flight.deadline = self.turns.after(timeout_ms, lambda: self._timed_out(call, in_flight))
         self.counters.add("sent.set_ups")
-        self.servers.set_up(server_id, call, out.number, timeout_ms)
+        self.servers.set_up(server_id, call, in_flight.number, timeout_ms)
 
-    def _timed_out(self, call: CallRecord, out: Attempt) -> None:
-        if call.out is out:
+    def _timed_out(self, call: CallRecord, in_flight: Attempt) -> None:
+        if call.in_flight is in_flight:
             self._end_attempt(call, api.Outcome.TIMED_OUT, cancel=True)
 
     def _final(self, call_id: str, final: Final, retry_after_ms: float | None) -> None:
         call = self._open.get(call_id)
-        if call is not None and call.owed:
+        if call is not None and call.unanswered:
             self._reject(call, final, retry_after_ms)
 
     # ------------------------------------------------------------------------------------ the call table
 
-    def _is_out(self, call: CallRecord, server_id: str, attempt: int | None) -> bool:
-        return call.out is not None and call.out.server_id == server_id and call.out.number == attempt
+    def _is_in_flight(self, call: CallRecord, server_id: str, attempt: int | None) -> bool:
+        in_flight = call.in_flight
+        return in_flight is not None and (in_flight.server_id, in_flight.number) == (server_id, attempt)
 
     def _reject(self, call: CallRecord, final: Final, retry_after_ms: float | None) -> None:
-        call.owed = False
+        call.unanswered = False
         self.counters.add(f"answered.{final.value}")
         self._count_final(call, final)
         self.callers.reject(call.origin, call.id, final, retry_after_ms)
-        if call.out is None:
+        if call.in_flight is None:
             self._close(call)
 
     def _count_final(self, call: CallRecord, final: Final) -> None:
@@ -434,17 +437,17 @@
             self.recorder.answered(call, final.value, self.turns.now_ms)
 
     def _end_attempt(self, call: CallRecord, outcome: api.Outcome, *, cancel: bool = False,
-                     said: Said = NOTHING_SAID) -> None:
-        out, call.out = call.out, None
-        self.turns.deadlines.discard(out.deadline)
+                     details: RefusalDetails = NO_DETAILS) -> None:
+        in_flight, call.in_flight = call.in_flight, None
+        self.turns.deadlines.discard(in_flight.deadline)
         self.counters.add(f"ended.{outcome.name.lower()}")
         if cancel:
-            self.servers.cancel(out.server_id, call.id)
-        if not call.owed:
+            self.servers.cancel(in_flight.server_id, call.id)
+        if not call.unanswered:
             self._close(call)
-        self._tell(api.AttemptEnded(call.id, out.number, out.server_id, outcome, finished=not call.owed,
-                                    processor_full=said.processor_full, number_busy=said.number_busy,
-                                    report=said.report))
+        self._tell(api.AttemptEnded(call.id, in_flight.number, in_flight.server_id, outcome,
+                                    finished=not call.unanswered, processor_full=details.processor_full,
+                                    number_busy=details.number_busy, report=details.report))
 
     def _close(self, call: CallRecord) -> None:
         """Nothing more is owed or out."""
@@ -453,16 +456,17 @@
         self.turns.deadlines.discard(call.deadline)
         self._held_bytes -= len(call.description)
         call.description = b""
-        if call.stands_at is None:
+        if call.established_at is None:
             self._remember(call.id)
 
-    def _end_standing(self, call: CallRecord, outcome: api.Outcome, report: api.Report | None = None) -> None:
-        del self._standing[call.id]
+    def _end_established(self, call: CallRecord, outcome: api.Outcome,
+                         report: api.Report | None = None) -> None:
+        del self._established[call.id]
         self._remember(call.id)
         if self.recorder is not None:
             self.recorder.over(call, outcome, self.turns.now_ms)
         self.counters.add(f"ended.{outcome.name.lower()}")
-        self._tell(api.AttemptEnded(call.id, call.attempts - 1, call.stands_at, outcome, finished=True,
+        self._tell(api.AttemptEnded(call.id, call.attempts - 1, call.established_at, outcome, finished=True,
                                     report=report))
 
     def _remember(self, call_id: str) -> None:
--- a/canvasplank/fleet/config.py
+++ b/canvasplank/fleet/config.py
@@ -10,7 +10,7 @@
 from canvasplank.fleet.backend import Backend
 from canvasplank.fleet.holder import Lease, Terms
 from canvasplank.fleet.spending import Kind, Scope
-from canvasplank.switch import load_switch
+from canvasplank.part_settings import load_part_settings
 
 Milliseconds = Annotated[float, msgspec.Meta(gt=0, le=600_000)]
 THOUSANDTHS = 1000
@@ -69,7 +69,7 @@
 
 def load_fleet(path: str) -> Fleet:
     """Read the file."""
-    return load_switch(path, "fleet", Fleet, _check)
+    return load_part_settings(path, "fleet", Fleet, _check)
 
 
 def _check(fleet: Fleet) -> None:
--- a/canvasplank/fleet/part.py
+++ b/canvasplank/fleet/part.py
@@ -5,10 +5,10 @@
 from canvasplank import interface as api
 from canvasplank.fleet.agent import Agent
 from canvasplank.fleet.config import Fleet, load_fleet
-from canvasplank.parts import Host, Made, Part
+from canvasplank.parts import Host, Part, PartFactory
 
 
-def load(path: str) -> Made:
+def load(path: str) -> PartFactory:
     """Read its file."""
     settings = load_fleet(path)
     return lambda host: FleetPart(host, settings)
--- a/canvasplank/interface.py
+++ b/canvasplank/interface.py
@@ -239,7 +239,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CallerGone:
+class CallAbandoned:
     """The caller left; nothing more is owed."""
 
     call_id: str
@@ -262,12 +262,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LinesTold:
-    """A server's free lines and all its lines, told unasked now and then."""
+class CircuitsReported:
+    """A server's free circuits and all its circuits, reported unasked now and then."""
 
     server_id: str
     free: float
-    lines: float
+    circuits: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -287,8 +287,8 @@
 # 0: now, and where the last argument says so its units are taken.
 Spend = Callable[[Call, int, str, bool], float]
 
-Event = (ServerList | Call | Established | AttemptEnded | CallerGone | TimerFired | ProbeAnswered | LinesTold
-         | Hinted)
+Event = (ServerList | Call | Established | AttemptEnded | CallAbandoned | TimerFired | ProbeAnswered
+         | CircuitsReported | Hinted)
 
 
 # --------------------------------------------------------------------------------------------------- actions
--- a/canvasplank/learning/config.py
+++ b/canvasplank/learning/config.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from canvasplank.learning.merge import HALF_LIFE_MS, MOST_AGE_MS
+from canvasplank.part_settings import load_part_settings
 from canvasplank.settings import split_address
-from canvasplank.switch import load_switch
 
 Positive = Annotated[float, msgspec.Meta(gt=0, le=3_600_000)]
 
@@ -34,7 +34,7 @@
 
 def load_learning(path: str) -> Learning:
     """Read the file."""
-    return load_switch(path, "learning", Learning, _check)
+    return load_part_settings(path, "learning", Learning, _check)
 
 
 def _check(learning: Learning) -> None:
--- a/canvasplank/learning/part.py
+++ b/canvasplank/learning/part.py
@@ -9,12 +9,12 @@
 from canvasplank.learning.config import Learning, load_learning
 from canvasplank.learning.exporting import Exporter
 from canvasplank.learning.merge import Listed, exported, hints, told
-from canvasplank.parts import Host, Made, Part
+from canvasplank.parts import Host, Part, PartFactory
 
 LOG = logging.getLogger(__name__)
 
 
-def load(path: str) -> Made:
+def load(path: str) -> PartFactory:
     """Read its file."""
     settings = load_learning(path)
     return lambda host: LearningPart(host, settings)
--- a/canvasplank/membership/config.py
+++ b/canvasplank/membership/config.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from canvasplank.membership.roster import MOST_AGE_MS, START_PER_S, TRUSTED_MS
-from canvasplank.switch import load_switch
+from canvasplank.part_settings import load_part_settings
 
 YEAR_MS = 366 * 24 * 3_600_000.0
 
@@ -23,7 +23,7 @@
 
 def load_membership(path: str) -> Membership:
     """Read the file."""
-    return load_switch(path, "membership", Membership, _check)
+    return load_part_settings(path, "membership", Membership, _check)
 
 
 def _check(membership: Membership) -> None:
--- a/canvasplank/membership/part.py
+++ b/canvasplank/membership/part.py
@@ -7,13 +7,13 @@
 from canvasplank.membership.config import Membership, load_membership
 from canvasplank.membership.keeper import Keeper, read
 from canvasplank.membership.roster import Roster, judge
-from canvasplank.parts import Host, Made, Part
+from canvasplank.parts import Host, Part, PartFactory
 from canvasplank.settings import DiscoveryEvent, folded, read_settings
 
 LOG = logging.getLogger(__name__)
 
 
-def load(path: str) -> Made:
+def load(path: str) -> PartFactory:
     """Read its file."""
     settings = load_membership(path)
     return lambda host: KeptListPart(host, settings)
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -10,7 +10,7 @@
 from canvasplank.codecs.errors import BadMessageError
 from canvasplank.exchange import CallRecord, Exchange, Final
 from canvasplank.network.listening import Listener
-from canvasplank.network.stream import Held, Stream
+from canvasplank.network.stream import BufferBudget, Stream
 from canvasplank.settings import Figures
 
 LOG = logging.getLogger(__name__)
@@ -27,13 +27,13 @@
 DESCRIPTION_MOST = 15 * 1024  # with the server side's headers it still is one message
 YOUNG_MS = 500.0  # a connection that has asked nothing may yet be about to
 SILENT_MS = 2000.0  # a connection that says nothing whole for so long after its start, or a message begun
-OWED_MOST = 20_000  # releases kept while no caller is connected
+PENDING_RELEASES_MOST = 20_000  # releases kept while no caller is connected
 SHARE_OF_SOCKETS = 0.6  # the most that callers may hold, so that servers, board and files find room
 ACCEPTED_SHARE = 0.1  # of those, the most that are accepted in one go
 IDLE_LOOK_MS = 250.0
-OWED_MS = 500.0  # a release waits so long for a connection of callers' own, then any will do
-UNHEARD_MS = 1000.0  # a release this old has been read, whether or not the caller says so
-UNHEARD_MOST = 1000
+PENDING_MS = 500.0  # a release waits so long for a connection of callers' own, then any will do
+UNCONFIRMED_MS = 1000.0  # a release this old has been read, whether or not the caller says so
+UNCONFIRMED_MOST = 1000
 HALF_CLOSED_LOOK_MS = 100.0  # who has left is found after two of these: a call is not sent on 0.3 s later
 QUIESCED_IDLE_MS = 200.0  # while quiesced, a connection unused for so long is closed: new ones come for 0.2 s
 
@@ -42,15 +42,15 @@
     """One connection from callers."""
 
     def __init__(self, callers: Callers) -> None:
-        super().__init__(callers.exchange.turns, "caller", isup.Parser(), callers.held)
+        super().__init__(callers.exchange.turns, "caller", isup.Parser(), callers.budget)
         self._callers = callers
         self.open: set[str] = set()  # set-ups that came here and lack their answer
         self.half_closed = False
         self.asked = False  # whether it has brought a whole message
         self.made_ms = self.turns.now_ms
         self.calls = False  # whether it has carried calls, and not only tests
-        self.unheard: dict[str, tuple[int, float]] = {}  # releases not confirmed: cause, time
-        self.standing: set[str] = set()  # calls answered here that stand: their releases come here
+        self.unconfirmed: dict[str, tuple[int, float]] = {}  # releases not confirmed: cause, time
+        self.established: set[str] = set()  # calls answered here that stand: their releases come here
 
     def connected(self) -> None:
         """Take it into the pool."""
@@ -65,7 +65,7 @@
             self._callers.take(self, message)
 
     @property
-    def owes_message(self) -> bool:
+    def message_is_overdue(self) -> bool:
         """Whether it should have said something whole by now, a first message or the rest of one."""
         since_ms = self.begun_ms if self.asked else self.made_ms
         late = self.turns.now_ms - since_ms > SILENT_MS
@@ -74,7 +74,7 @@
     def eof_received(self) -> bool:
         """The caller sends no more; what it is owed can still be written."""
         self.half_closed = True
-        self._callers.release_again(self)  # it may have ended altogether
+        self._callers.resend_unconfirmed(self)  # it may have ended altogether
         self._prove_read()
         return bool(self.open)
 
@@ -95,11 +95,11 @@
 
     def release(self, call_id: str, cause: int) -> None:
         """Write the release of a call that stood."""
-        self.unheard[call_id] = cause, self.turns.now_ms
-        if len(self.unheard) > UNHEARD_MOST:
-            del self.unheard[next(iter(self.unheard))]
+        self.unconfirmed[call_id] = cause, self.turns.now_ms
+        if len(self.unconfirmed) > UNCONFIRMED_MOST:
+            del self.unconfirmed[next(iter(self.unconfirmed))]
         self.write(isup.release(call_id, cause))
-        self.standing.discard(call_id)
+        self.established.discard(call_id)
         self.leave_if_quiesced()
 
     def answered(self, call_id: str, data: bytes) -> None:
@@ -111,7 +111,7 @@
     def forget(self, call_id: str) -> None:
         """Nothing of this call is to come here any more."""
         self.open.discard(call_id)
-        self.standing.discard(call_id)
+        self.established.discard(call_id)
         self._leave_if_unused()
 
     def _leave_if_unused(self) -> None:
@@ -122,7 +122,7 @@
     @property
     def carries_nothing(self) -> bool:
         """No set-up is open here, and no call that was answered here stands."""
-        return not self.open and not self.standing
+        return not self.open and not self.established
 
     def leave_if_quiesced(self) -> None:
         """While the operators send callers away, a connection goes once it carries nothing.
@@ -137,15 +137,15 @@
     """All connections from callers."""
 
     def __init__(self, exchange: Exchange, figures: Figures, sockets: int, idle_ms: float,
-                 held: Held) -> None:
+                 budget: BufferBudget) -> None:
         self.exchange = exchange
-        self.held = held
+        self.budget = budget
         self._figures = figures
         self.streams: dict[CallerStream, None] = {}  # in the order of their coming
         self.accepting = True
         self.quiesced = False  # the operators send callers away: connections go as soon as nothing is open
         self.able: Callable[[], bool] = lambda: True  # whether a call could be served at all
-        self._owed: dict[str, int] = {}  # releases that wait for a connection, with their causes
+        self._pending_releases: dict[str, int] = {}  # releases that wait for a connection, with their causes
         self._listener: Listener | None = None
         self.limit(sockets)
         self._idle_ms = idle_ms
@@ -207,7 +207,7 @@
 
     def answer(self, origin: Hashable, call_id: str, description: bytes) -> None:
         """See ``CallerSide``."""
-        origin.standing.add(call_id)
+        origin.established.add(call_id)
         origin.answered(call_id, isup.answer(call_id, description))
 
     def reject(self, origin: Hashable, call_id: str, final: Final, retry_after_ms: float | None) -> None:
@@ -217,15 +217,15 @@
     def release(self, origin: Hashable | None, call_id: str, cause: int) -> None:
         """See ``CallerSide``; no connection owns a standing call: any will do, or the next one to come."""
         if origin is not None:
-            origin.standing.discard(call_id)
+            origin.established.discard(call_id)
         usable = origin is not None and origin.is_open and not origin.half_closed
         stream = origin if usable else self._any(calls=True)
         if stream is not None:
             self.exchange.counters.add("sent.releases_to_callers")
             stream.release(call_id, cause)
-        elif len(self._owed) < OWED_MOST:
-            self._owed[call_id] = cause
-            self.exchange.turns.after(OWED_MS, lambda: self._pay(self._any(calls=False)))
+        elif len(self._pending_releases) < PENDING_RELEASES_MOST:
+            self._pending_releases[call_id] = cause
+            self.exchange.turns.after(PENDING_MS, lambda: self._send_pending(self._any(calls=False)))
 
     def forget(self, origin: Hashable, call_id: str) -> None:
         """See ``CallerSide``."""
@@ -239,12 +239,12 @@
         usable = (s for s in reversed(self.streams) if s.is_open and not s.half_closed)
         return next((s for s in usable if s.calls or not calls), None)
 
-    def _pay(self, stream: CallerStream | None) -> None:
+    def _send_pending(self, stream: CallerStream | None) -> None:
         """Write the releases that have waited for a connection."""
         if stream is None:
             return
-        owed, self._owed = self._owed, {}
-        for call_id, cause in owed.items():
+        pending, self._pending_releases = self._pending_releases, {}
+        for call_id, cause in pending.items():
             self.exchange.counters.add("sent.releases_to_callers")
             stream.release(call_id, cause)
 
@@ -255,21 +255,21 @@
         self.exchange.counters.add("sockets.callers")
         self.streams[stream] = None
         self._make_room()
-        if self._owed:
-            self.exchange.turns.after(OWED_MS, lambda: self._pay(self._any(calls=False)))
+        if self._pending_releases:
+            self.exchange.turns.after(PENDING_MS, lambda: self._send_pending(self._any(calls=False)))
 
     def left(self, stream: CallerStream) -> None:
         """A connection from callers has ended."""
         self.streams.pop(stream, None)
         for call_id in list(stream.open):
-            self.exchange.caller_lost(call_id, stream)
-        self.release_again(stream)
+            self.exchange.caller_disconnected(call_id, stream)
+        self.resend_unconfirmed(stream)
 
-    def release_again(self, stream: CallerStream) -> None:
+    def resend_unconfirmed(self, stream: CallerStream) -> None:
         """Guards against a release that crosses the caller's end of a connection: it goes out on another."""
-        owed, stream.unheard = stream.unheard, {}
-        newest_ms = self.exchange.turns.now_ms - UNHEARD_MS
-        for call_id, (cause, sent_ms) in owed.items():
+        pending, stream.unconfirmed = stream.unconfirmed, {}
+        newest_ms = self.exchange.turns.now_ms - UNCONFIRMED_MS
+        for call_id, (cause, sent_ms) in pending.items():
             if sent_ms > newest_ms:
                 self.release(None, call_id, cause)
 
@@ -277,17 +277,17 @@
         """One message from a caller; what is no caller's to send ends the connection."""
         if message.kind != isup.Kind.TEST and not stream.calls:
             stream.calls = True
-            self._pay(stream)
+            self._send_pending(stream)
         match message.kind:
             case isup.Kind.SET_UP if stream.finishing:
                 pass  # it crossed our end: its caller sends it again on a new connection
             case isup.Kind.SET_UP:
                 self._set_up(stream, message)
             case isup.Kind.RELEASE:
-                self.exchange.give_up(message.call_id, message.cause)
+                self.exchange.released_by_caller(message.call_id, message.cause)
                 stream.write(isup.release_heard(message.call_id))
             case isup.Kind.RELEASE_HEARD:
-                stream.unheard.pop(message.call_id, None)
+                stream.unconfirmed.pop(message.call_id, None)
             case isup.Kind.TEST:
                 stream.write(isup.test_result(message.call_id, self.takes_callers))
             case isup.Kind.PROGRESS:
@@ -357,16 +357,16 @@
         """Guards against callers taking every descriptor: those without an open set-up go, first whoever has
         not asked anything yet, then the longest unused; where all are busy, the newest goes.
         """
-        held = [s for s in self.streams if s.is_open]
-        over = len(held) - self._most
+        open_streams = [s for s in self.streams if s.is_open]
+        over = len(open_streams) - self._most
         past = max(0, len(self.streams) - self._most - self._at_once)
         for stream in [s for s in self.streams if s.finishing][:past]:
             stream.transport.abort()  # guards the descriptors against those who do not hear our end
         if over <= 0:
             return
-        newest = held.pop()
+        newest = open_streams.pop()
         young_ms = self.exchange.turns.now_ms - YOUNG_MS
-        idle = [s for s in held if not s.open]
+        idle = [s for s in open_streams if not s.open]
         idle.sort(key=lambda s: (s.asked or s.used_ms > young_ms, s.used_ms))
         for stream in (idle or [newest])[:over]:
             self.exchange.counters.add("sockets.callers_closed_for_room")
@@ -380,7 +380,7 @@
             return stream.carries_nothing if self.quiesced else not stream.open
 
         for stream in [s for s in self.streams if s.is_open]:
-            if stream.owes_message:
+            if stream.message_is_overdue:
                 stream.end_spoilt(f"nothing whole for {SILENT_MS:.0f} ms")
             elif unused(stream) and now_ms - stream.used_ms > idle_ms:
                 stream.finish()
--- a/canvasplank/network/discovery.py
+++ b/canvasplank/network/discovery.py
@@ -14,7 +14,7 @@
 from canvasplank.codecs.errors import BadMessageError
 from canvasplank.deadlines import Turns
 from canvasplank.network.connecting import Backoff, Connecting
-from canvasplank.network.stream import Held, Stream
+from canvasplank.network.stream import BufferBudget, Stream
 from canvasplank.settings import DISCOVERY_EVENT, DiscoveryEvent
 
 LOG = logging.getLogger(__name__)
@@ -35,7 +35,7 @@
     """One connection to service discovery."""
 
     def __init__(self, discovery: Discovery) -> None:
-        super().__init__(discovery.turns, "notice board", sse.Parser(), discovery.held)
+        super().__init__(discovery.turns, "notice board", sse.Parser(), discovery.budget)
         self._discovery = discovery
         self.made_ms = self.turns.now_ms
 
@@ -76,9 +76,9 @@
     """Follows service discovery from the last event known."""
 
     def __init__(self, turns: Turns, address: str, last_id: int, told: Callable[[DiscoveryEvent], None],
-                 held: Held, rng: random.Random | None = None) -> None:
+                 budget: BufferBudget, rng: random.Random | None = None) -> None:
         self.turns = turns
-        self.held = held
+        self.budget = budget
         self._rng = rng or random.Random()
         self.address = address
         self.last_id = last_id
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -1,7 +1,7 @@
 """The client side: connections to the call servers, in the SIP of ``codecs.sip``.
 
 A server is known by the notice board's ``instanceId``; its address may be another's later.  One connection is
-kept up to each live server, whether or not calls go there: releases and the state of its lines come on it.
+kept up to each live server, whether or not calls go there: releases and the state of its circuits come on it.
 """
 
 from __future__ import annotations
@@ -14,24 +14,24 @@
 from canvasplank import interface as api
 from canvasplank.codecs import sip
 from canvasplank.codecs.errors import BadMessageError
-from canvasplank.exchange import TAKEN_BACK_CAUSE, CallRecord, Exchange, Said
+from canvasplank.exchange import UNWANTED_ANSWER_CAUSE, CallRecord, Exchange, RefusalDetails
 from canvasplank.network.connecting import Backoff, Connecting
-from canvasplank.network.stream import Held, Stream
+from canvasplank.network.stream import BufferBudget, Stream
 from canvasplank.settings import Ceilings, Gauges, Instance, server_of
 
 LOG = logging.getLogger(__name__)
 BACKOFF_MS, BACKOFF_MOST_MS = 50.0, 800.0
-QUIET_MS = 2500.0  # a server that tells its lines and has said nothing for so long may be cut off
+QUIET_MS = 2500.0  # a server that reports its circuits and has said nothing for so long may be cut off
 QUIET_MOST_MS = 20_000.0  # or for so long, where it tells them less often
-UNTIMED_TELLINGS = 2  # the first on a connection, which say nothing of how often they come
+UNTIMED_REPORTS = 2  # the first on a connection, which say nothing of how often they come
 UNREACHABLE_MS = 7000.0  # no word and no connection for so long: a call that is over is released within 8 s
 FIRST_RESEND_MS = 500.0  # where the settings name none
 CUT_SHORT_SHARE = 0.25  # of it: a message that is not whole so long after it began never will be
 LOOK_SHARE = 0.2  # of it: between two looks at the connections
 GONE_LOOK_MS = 250.0  # between two looks at a server that is gone and still speaks
-OWED_MOST = 10_000  # releases kept for a server that cannot be reached
-UNHEARD_MS = 1000.0  # a release so much older than the last word of the server has been read by it
-UNHEARD_MOST = 1000  # releases sent on one connection and not confirmed
+PENDING_RELEASES_MOST = 10_000  # releases kept for a server that cannot be reached
+UNCONFIRMED_MS = 1000.0  # a release so much older than the last word of the server has been read by it
+UNCONFIRMED_MOST = 1000  # releases sent on one connection and not confirmed
 OUTCOMES = {
     480: api.Outcome.NOT_SENT,
     503: api.Outcome.FULL,
@@ -58,10 +58,10 @@
     backoff: Backoff
     current: ServerStream | None = None  # where the next message goes; it may still be connecting
     heard_ms: float = 0.0  # when it last said anything, or a connection came up
-    tells: bool = False  # it has told the state of its lines
+    reports_circuits: bool = False  # it has reported its circuits
     quiet_ms: float = QUIET_MS  # so long it may say nothing
     streams: list[ServerStream] = field(default_factory=list)  # all that are up
-    owed: dict[str, int] = field(default_factory=dict)  # causes of releases for the next connection
+    pending_releases: dict[str, int] = field(default_factory=dict)  # causes, for the next connection
     opens_ms: float = 0.0  # no sooner is its first connection made, unless a set-up wants it
 
 
@@ -94,16 +94,16 @@
 
     def __init__(self, servers: Servers, peer: Peer) -> None:
         label = f"server {peer.server_id} {peer.address}"
-        super().__init__(servers.exchange.turns, label, sip.Parser(), servers.held)
+        super().__init__(servers.exchange.turns, label, sip.Parser(), servers.budget)
         self.servers = servers
         self.peer = peer
         self.address = peer.address
         self.open: dict[str, int] = {}  # set-ups sent here and not ended, with the numbers of their attempts
         self.waiting: dict[str, WaitingSetUp] = {}  # for when it is up
-        self.told_ms = -1.0  # when the state of the lines was last told here
-        self.tellings = 0  # and how often
-        self.unheard: dict[str, tuple[int, float]] = {}  # releases sent here and not confirmed: cause, time
-        self.standing: set[str] = set()  # calls set up here that stand: the server releases them here
+        self.reported_ms = -1.0  # when the circuits were last reported here
+        self.reports = 0  # and how often
+        self.unconfirmed: dict[str, tuple[int, float]] = {}  # releases sent here: cause, time
+        self.established: set[str] = set()  # calls set up here that stand: the server releases them here
         self.replaced_ms = -1.0  # when another took its place
         self.connecting: Connecting | None = None
         self.made_ms = self.turns.now_ms
@@ -118,19 +118,19 @@
         """Read what it says."""
         self.peer.heard_ms = self.turns.now_ms
         for message in self.messages(data):
-            if not self.servers.parting:
+            if not self.servers.closing:
                 self.servers.take(self, message)
 
-    def told(self) -> None:
-        """The state of the lines was told; where that is often, silence is found soon.
+    def reported(self) -> None:
+        """The circuits were reported; where that is often, silence is found soon.
 
         The first comes with the connection, the second at any time after it: they say nothing of that.
         """
-        self.peer.tells = True
-        self.tellings += 1
-        if self.tellings > UNTIMED_TELLINGS and self.turns.now_ms - self.told_ms < QUIET_MS:
+        self.peer.reports_circuits = True
+        self.reports += 1
+        if self.reports > UNTIMED_REPORTS and self.turns.now_ms - self.reported_ms < QUIET_MS:
             self.peer.quiet_ms = QUIET_MS
-        self.told_ms = self.turns.now_ms
+        self.reported_ms = self.turns.now_ms
 
     def is_cut_short(self, limit_ms: float) -> bool:
         """Whether the rest of a message is overdue: all that follows would be taken for it."""
@@ -148,7 +148,7 @@
         successor is up already, and the server would not tell it again.
         """
         spoke_again = self.heard_ms > self.replaced_ms and self.turns.now_ms - self.used_ms < limit_ms
-        return not self.open and not (self.standing and spoke_again)
+        return not self.open and not (self.established and spoke_again)
 
     @property
     def broke_off(self) -> bool:
@@ -163,18 +163,18 @@
 class Servers:
     """All connections to call servers."""
 
-    def __init__(self, exchange: Exchange, ceilings: Ceilings, resend_ms: float | None, held: Held,
+    def __init__(self, exchange: Exchange, ceilings: Ceilings, resend_ms: float | None, budget: BufferBudget,
                  gauges: Gauges) -> None:
         self.exchange = exchange
         self._gauges = gauges
-        self.held = held
+        self.budget = budget
         self.turns = exchange.turns
         self._ceilings = ceilings
         self._peers: dict[str, Peer] = {}
         self._probes: dict[str, str] = {}
         self._probe_count = 0
         self.opening: Opening | None = None  # None: all servers, all at once
-        self.parting = False  # the program ends
+        self.closing = False  # the program ends
         self._resend_ms = resend_ms or FIRST_RESEND_MS
         self.turns.after(LOOK_SHARE * self._resend_ms, self._look)
 
@@ -189,7 +189,7 @@
 
         What was said last is on its way, and is read on over: guards it against a reset of ours.
         """
-        self.parting = True
+        self.closing = True
         for stream in [s for peer in self._peers.values() for s in peer.streams]:
             stream.finish()
 
@@ -197,11 +197,11 @@
         """The servers in the list, each with the start of its process."""
         return [(peer.server_id, peer.started_ms) for peer in self._peers.values()]
 
-    def owes(self, server_id: str) -> bool:
+    def has_unsettled_releases(self, server_id: str) -> bool:
         """Whether a release for this server has yet to be sent, or may yet have to be sent again."""
-        peer, recent_ms = self._peers.get(server_id), self.turns.now_ms - UNHEARD_MS
-        return peer is not None and (bool(peer.owed) or any(
-            sent_ms > recent_ms for stream in peer.streams for _, sent_ms in stream.unheard.values()))
+        peer, recent_ms = self._peers.get(server_id), self.turns.now_ms - UNCONFIRMED_MS
+        return peer is not None and (bool(peer.pending_releases) or any(
+            sent_ms > recent_ms for stream in peer.streams for _, sent_ms in stream.unconfirmed.values()))
 
     # -------------------------------------------------------------------------------- for the board
 
@@ -330,7 +330,7 @@
     def set_up(self, server_id: str, call: CallRecord, attempt: int, wait_ms: float) -> None:
         """See ``ServerSide``."""
         peer = self._peers.get(server_id)
-        if self.parting or peer is None or peer.state is not api.ServerState.READY:
+        if self.closing or peer is None or peer.state is not api.ServerState.READY:
             self.exchange.ended(server_id, call.id, attempt, api.Outcome.NO_CONNECTION)
             return
         self._connect(peer, wanted=True)
@@ -344,7 +344,7 @@
         call, attempt = waiting.call, waiting.attempt
         for each in stream.peer.streams:
             # Guards against ending the call by the release of an earlier attempt here, sent once more.
-            each.unheard.pop(call.id, None)
+            each.unconfirmed.pop(call.id, None)
         if stream.asked_ms <= stream.heard_ms:
             stream.asked_ms = self.turns.now_ms
         stream.open[call.id] = attempt
@@ -370,12 +370,12 @@
         """See ``ServerSide``: on the connection that is up, or on the next one."""
         for peer in self._peers.values() if server_id is None else filter(None, [self._peers.get(server_id)]):
             self._over(peer, call_id)
-            self._owe(peer, call_id, cause)
+            self._send_release(peer, call_id, cause)
 
     def _over(self, peer: Peer, call_id: str) -> None:
         """A call stands there no more."""
         for stream in peer.streams:
-            stream.standing.discard(call_id)
+            stream.established.discard(call_id)
 
     def probe(self, server_id: str) -> None:
         """See ``ServerSide``."""
@@ -396,9 +396,9 @@
 
     def _bye(self, stream: ServerStream, call_id: str, cause: int) -> None:
         self.exchange.counters.add("sent.releases_to_servers")
-        stream.unheard[call_id] = cause, self.turns.now_ms
-        if len(stream.unheard) > UNHEARD_MOST:
-            del stream.unheard[next(iter(stream.unheard))]
+        stream.unconfirmed[call_id] = cause, self.turns.now_ms
+        if len(stream.unconfirmed) > UNCONFIRMED_MOST:
+            del stream.unconfirmed[next(iter(stream.unconfirmed))]
         stream.write(sip.request("BYE", "call", call_id, 1, {"Reason": f"Q.850;cause={cause}"}))
 
     # -------------------------------------------------------------------------------- connections
@@ -408,7 +408,7 @@
 
         Guards a server against a connection from each of hundreds of proxies that start at once.
         """
-        if self.parting or (self.turns.now_ms < peer.opens_ms and not wanted):
+        if self.closing or (self.turns.now_ms < peer.opens_ms and not wanted):
             return
         current = peer.current
         if current is not None and (current.is_open or current.connecting is not None):
@@ -426,8 +426,8 @@
         peer.streams.append(stream)
         self.exchange.counters.add("sockets.servers")
         # Releases first: guards against one that is owed for an earlier attempt ending the call's next.
-        owed, peer.owed = peer.owed, {}
-        for call_id, cause in owed.items():
+        pending_releases, peer.pending_releases = peer.pending_releases, {}
+        for call_id, cause in pending_releases.items():
             self._bye(stream, call_id, cause)
         for waiting in stream.waiting.values():
             self._invite(stream, waiting)
@@ -457,12 +457,12 @@
         peer.streams.remove(stream)
         if peer.current is stream:
             peer.current = None
-        self._owe_again(stream)
+        self._resend_unconfirmed(stream)
         broken, stream.open = stream.open, {}
         for call_id, attempt in broken.items():
             if stream.broke_off:
                 # Guards against a call that stands there for nobody: its answer came, and could not be read.
-                self._owe(peer, call_id, TAKEN_BACK_CAUSE)
+                self._send_release(peer, call_id, UNWANTED_ANSWER_CAUSE)
             self.exchange.ended(peer.server_id, call_id, attempt, api.Outcome.RESET)
         self._keep_up(peer)
 
@@ -490,12 +490,12 @@
             quiet = (current is not None and self._expected(current)
                      and now_ms - current.heard_ms > peer.quiet_ms)
             if quiet and not current.open:
-                # Guards one that tells its lines less often against a new connection every time.
+                # Guards one that reports less often against a new connection every time.
                 peer.quiet_ms = min(QUIET_MOST_MS, 2 * peer.quiet_ms)
             if quiet or (current is not None and current.is_open and current.is_hung(self._resend_ms)):
                 self.exchange.counters.add("sockets.servers_quiet")
                 peer.current, current.replaced_ms = None, now_ms
-                self._owe_again(current)
+                self._resend_unconfirmed(current)
             if self._listed(peer):
                 self._connect(peer)
             up = peer.current is not None and peer.current.is_open
@@ -513,25 +513,25 @@
         self.exchange.process_over(peer.server_id, float("inf"), tell_server=True)
 
     def _expected(self, stream: ServerStream) -> bool:
-        """Whether something should have come: a server goes on telling its lines, and answers set-ups.
+        """Whether something should have come: a server goes on reporting its circuits, and answers set-ups.
 
         Guards against taking up connections over and over to a server that has nothing to say.
         """
-        return stream.is_open and (stream.peer.tells or bool(stream.open))
+        return stream.is_open and (stream.peer.reports_circuits or bool(stream.open))
 
-    def _owe_again(self, stream: ServerStream) -> None:
+    def _resend_unconfirmed(self, stream: ServerStream) -> None:
         """Guards against releases lost on a connection that has died: they go out on the next one."""
-        owed, stream.unheard = stream.unheard, {}
-        for call_id, (cause, sent_ms) in owed.items():
-            if sent_ms > stream.heard_ms - UNHEARD_MS:
-                self._owe(stream.peer, call_id, cause)
+        pending_releases, stream.unconfirmed = stream.unconfirmed, {}
+        for call_id, (cause, sent_ms) in pending_releases.items():
+            if sent_ms > stream.heard_ms - UNCONFIRMED_MS:
+                self._send_release(stream.peer, call_id, cause)
 
-    def _owe(self, peer: Peer, call_id: str, cause: int) -> None:
+    def _send_release(self, peer: Peer, call_id: str, cause: int) -> None:
         """Have a release go out, on the next connection if there is none."""
         if peer.current is not None and peer.current.is_open:
             self._bye(peer.current, call_id, cause)
-        elif len(peer.owed) < OWED_MOST:
-            peer.owed[call_id] = cause
+        elif len(peer.pending_releases) < PENDING_RELEASES_MOST:
+            peer.pending_releases[call_id] = cause
 
     def _retire(self, peer: Peer) -> None:
         """End connections that another has taken the place of, once they are left over."""
@@ -561,15 +561,15 @@
                     report = self._gauges.report(_figures(message))
                     self.exchange.released(stream.peer.server_id, message.call_id, cause, report)
             case "NOTIFY":
-                stream.told()
-                if (lines := self._gauges.lines(_figures(message))) is not None:
-                    self.exchange.lines_told(stream.peer.server_id, *lines)
+                stream.reported()
+                if (circuits := self._gauges.circuits(_figures(message))) is not None:
+                    self.exchange.circuits_reported(stream.peer.server_id, *circuits)
             case "OPTIONS":
                 stream.write(sip.response(OK, "OK", message))
 
     def _response(self, stream: ServerStream, message: sip.Message) -> None:
         if message.method == "BYE":
-            stream.unheard.pop(message.call_id, None)
+            stream.unconfirmed.pop(message.call_id, None)
         if message.method == "OPTIONS":
             self._probed(message.call_id, message.status == OK, self._gauges.report(_figures(message)))
         if message.method != "INVITE" or message.status < OK or not CALL_ID.fullmatch(message.call_id):
@@ -580,7 +580,7 @@
         attempt = stream.open.pop(call_id, None)
         stream.write(sip.request("ACK", "call", call_id, max(1, message.sequence)))
         if message.status < MULTIPLE_CHOICES:
-            stream.standing.add(call_id)  # where it is taken back, the release takes it out again
+            stream.established.add(call_id)  # where it is taken back, the release takes it out again
             self.exchange.established(server_id, call_id, attempt, message.body)
         elif attempt is not None:
             outcome = OUTCOMES.get(message.status, api.Outcome.ERROR)
@@ -588,7 +588,7 @@
             busy = note == NUMBER_BUSY and outcome is api.Outcome.ERROR
             report = self._gauges.report(_figures(message), _waited_ms(message))
             self.exchange.ended(server_id, call_id, attempt, outcome,
-                                Said(note == PROCESSOR_FULL, busy, report))
+                                RefusalDetails(note == PROCESSOR_FULL, busy, report))
 
 
 def _figures(message: sip.Message) -> dict[str, float]:
--- a/canvasplank/network/stream.py
+++ b/canvasplank/network/stream.py
@@ -19,7 +19,7 @@
 READS_MOST = 256  # of what is left on a connection that was reset
 UNSENT_PAUSE = 16 * 1024  # bytes left unread from which on nothing more is taken from the peer
 
-HELD_PART = 1 / 8  # of the memory: the most that all connections together may hold
+BUFFERED_PART = 1 / 8  # of the memory: the most that all connections together may hold
 
 Message = TypeVar("Message", covariant=True)
 
@@ -32,7 +32,7 @@
         """Whether a message has begun and is not whole."""
 
     @property
-    def held(self) -> int:
+    def buffered(self) -> int:
         """Bytes of a message that is not whole."""
 
     def feed(self, data: memoryview) -> Iterator[Message]:
@@ -42,7 +42,7 @@
         """Forget what is not whole."""
 
 
-class Held:
+class BufferBudget:
     """What all connections hold, to be written or of messages not yet whole, and its bound.
 
     Guards against hundreds of peers that each stay within the bounds of one connection, and together take
@@ -56,7 +56,7 @@
 
     def limit(self, memory_bytes: float) -> None:
         """Hold no more than the configuration has room for."""
-        self._most = HELD_PART * memory_bytes
+        self._most = BUFFERED_PART * memory_bytes
 
     def note(self, stream: Stream, size: int) -> None:
         """What a connection holds now."""
@@ -68,7 +68,7 @@
 
     def _shrink(self) -> None:
         """Look again, since what has left is not noted; then end the largest until the rest fits."""
-        self._by_stream = {stream: stream.held for stream in self._by_stream if stream.held}
+        self._by_stream = {stream: stream.buffered for stream in self._by_stream if stream.buffered}
         self.total = sum(self._by_stream.values())
         while self.total > self._most:
             largest = max(self._by_stream, key=self._by_stream.__getitem__)
@@ -84,10 +84,10 @@
     # One for all: guards against 16 KiB for each of hundreds of idle connections.
     _buffer = bytearray(MESSAGE_MOST)
 
-    def __init__(self, turns: Turns, label: str, parser: Parser, all_held: Held) -> None:
+    def __init__(self, turns: Turns, label: str, parser: Parser, budget: BufferBudget) -> None:
         self.turns = turns
         self.parser = parser
-        self.all_held = all_held
+        self.budget = budget
         self.label = label
         self.transport: asyncio.Transport | None = None
         self.heard_ms = turns.now_ms
@@ -126,18 +126,18 @@
             return
         self.used_ms = self.turns.now_ms
         self.transport.write(data)
-        self._note_held()
+        self._note_buffered()
         if self.unsent > UNSENT_MOST:
             LOG.warning("%s: closed, leaves %d bytes unread", self.label, self.unsent)
             self.transport.abort()
 
-    def _note_held(self) -> None:
-        self.all_held.note(self, self.held)
+    def _note_buffered(self) -> None:
+        self.budget.note(self, self.buffered)
 
     @property
-    def held(self) -> int:
+    def buffered(self) -> int:
         """Bytes kept for this connection, to be written or of a message that is not whole."""
-        return self.unsent + self.parser.held
+        return self.unsent + self.parser.buffered
 
     @property
     def unsent(self) -> int:
@@ -182,7 +182,7 @@
         self.heard_ms = self.used_ms = self.turns.now_ms
         try:
             self.received(memoryview(self._buffer)[:nbytes])
-            self._note_held()
+            self._note_buffered()
         except BadMessageError as fault:
             # Guards against a bad message ending the program: it ends its own connection, with one line.
             self.end_spoilt(str(fault))
@@ -211,7 +211,7 @@
                 if not count:
                     break
                 self.buffer_updated(count)
-        self.all_held.note(self, 0)  # guards the bound against counting what is over, for good
+        self.budget.note(self, 0)  # guards the bound against counting what is over, for good
 
     def pause_writing(self) -> None:
         """The peer does not read: take nothing more from it meanwhile."""
@@ -232,4 +232,4 @@
                 with socket.socket(fileno=descriptor) as left:
                     self.read_out(left)
         self.ended(exc)
-        self.all_held.note(self, 0)
+        self.budget.note(self, 0)
--- a/canvasplank/parts.py
+++ b/canvasplank/parts.py
@@ -56,7 +56,7 @@
         """The program ends, everything is answered: bring what is under way to an end in this time."""
 
 
-Made = Callable[[Host], Part]
+PartFactory = Callable[[Host], Part]
 
 
 class Entry(NamedTuple):
@@ -76,7 +76,7 @@
 )
 
 
-def switched_on(environment: Mapping[str, str]) -> list[Made]:
+def enabled_parts(environment: Mapping[str, str]) -> list[PartFactory]:
     """What the environment names files for, its files read; a bad one is a ``ConfigurationError``."""
     return [importlib.import_module(entry.module).load(path)
             for entry in TABLE if (path := environment.get(entry.variable))]
--- a/canvasplank/policy.py
+++ b/canvasplank/policy.py
@@ -28,10 +28,10 @@
 GROWTH = 0.1  # ... per quiet second, or FLOOR_RATE, whichever is more
 SECOND_MS = 1000.0
 # Exception (fleet size): a gateway's part of the one call a second is this much of an even share of what a
-# server's lines can carry; while the lines are not told, the second is shared past so many gateways.
+# server's circuits can carry; while these are not reported, the second is shared past so many gateways.
 FAIR_PART = 0.25
 FEW_GATEWAYS = 8
-OPEN_SHARES = 1.5  # even shares: the most that a bucket leaks, where lines are told, or so many times the
+OPEN_SHARES = 1.5  # even shares: the most that a bucket leaks, with circuits reported, or so many times the
 OPEN_TIMES = 4.0  # calls that the server answers us lately, if those are enough to tell
 DRAWN = 2  # second choices looked at
 # A second holds few answers; the cut looks back over as many as this many answers, up to LOOK_BACK_MS.
@@ -47,16 +47,16 @@
 ALONE = 1  # overdue answers that tell nothing after one that came in time
 TRIAL_TIMES, TRIAL_TIMES_MOST = 2.0, 8.0  # that time, between two trials of a silent server, doubling
 CONFIRM_MS = 5000.0  # the list is seconds late: so long may a return from silence be a fresh start
-# Of the budget of a cold server, by what tells what it can do: lines are a rough measure of that, what its
+# Of the budget of a cold server, by what tells what it can do: circuits are a rough measure of that, what its
 # predecessor told a better one, and its own fresh report the best; or so many times what it answers us now.
-COLD_BY_LINES, COLD_BY_POOL, COLD_BY_REPORT, COLD_TIMES = 0.3, 0.6, 0.8, 1.2
+COLD_BY_CIRCUITS, COLD_BY_POOL, COLD_BY_REPORT, COLD_TIMES = 0.3, 0.6, 0.8, 1.2
 FRESH_MS = 2000.0  # so long a report counts as of now
 BEGIN_MS = 10_000.0  # where hundreds start at once, first set-ups come evenly spaced for so long
 MARGIN_MS, MARGIN_TICKS = 25.0, 2  # a final answer leaves both before the caller's time is up
 MARGIN_SHARE = 0.1  # of the caller's wait, where that is less than MARGIN_MS
 STALL_TICKS = 4  # a timer so late tells that this gateway stood still
 NEVER = float("inf")
-HELD_MOST = 400  # calls held; past it the least worth is refused
+QUEUED_MOST = 400  # calls held; past it the least worth is refused
 POOLS_MOST, REDIALS_MOST, BUSY_MOST = 256, 4000, 1000  # remembered: pools, unserved calls, busy numbers
 BUSY_MS, BUSY_MOST_MS = 500.0, 4000.0  # a number found busy is left alone so long, doubling
 CREDIT_MOST = 4.0  # calls that a customer may bring in a row beyond its part of the traffic
@@ -105,9 +105,9 @@
         self.pool = entry.pool
         self.state = entry.state
         self.started_ms = entry.started_ms
-        self.lines: float | None = None  # all its lines, where they are told
+        self.circuits: float | None = None  # all it has, where they are reported
         self.capacity: float | None = None  # set-ups a second from all senders, told while it had no wait
-        self.told_ms = -NEVER  # when it last told that itself
+        self.reported_ms = -NEVER  # when it last told that itself
         self.bucket = LeakyBucket(now_ms, dither)
         self.bucket.rate = NEVER if entry.begin_per_s is None else entry.begin_per_s
         self.begin_until_ms = -NEVER if entry.begin_per_s is None else now_ms + BEGIN_MS
@@ -192,7 +192,7 @@
         self.server: ServerView | None = None  # where its one attempt is out
         self.not_before_ms = now_ms  # rule 5
 
-    def has_out(self, event: api.Established | api.AttemptEnded) -> bool:
+    def is_in_flight(self, event: api.Established | api.AttemptEnded) -> bool:
         return self.server is not None and event.attempt == self.attempts - 1  # told twice it frees nothing
 
 
@@ -206,10 +206,10 @@
         self._now = 0.0
         self._classes = {c.name: c for c in settings.classes}
         self._servers: dict[str, ServerView] = {}
-        self._told: dict[int, tuple[float | None, float | None]] = {}  # lines and capacity, by pool
+        self._last_reported: dict[int, tuple[float | None, float | None]] = {}  # circuits, capacity
         self._calls: dict[str, CallState] = {}  # those that still lack their final answer
-        self._held: dict[str, CallState] = {}  # those of them that have no attempt out
-        self._standing: dict[str, CallState] = {}  # those that stand, until they end
+        self._queued: dict[str, CallState] = {}  # those of them that have no attempt out
+        self._established: dict[str, CallState] = {}  # those that stand, until they end
         # First tries of calls that may be dialled again, with the time of the note, which is their order.
         self._unserved: OrderedDict[tuple[str, str], tuple[float, float, float]] = OrderedDict()
         quotas = sum(c.quota_per_s for c in settings.tenants)
@@ -259,19 +259,19 @@
             case api.ServerList():
                 self._on_list(event)
                 self._look()
-            case api.CallerGone(call_id):
+            case api.CallAbandoned(call_id):
                 if call_id in self._calls:
                     self._forget(self._calls[call_id])
-                self._standing.pop(call_id, None)
+                self._established.pop(call_id, None)
             case api.ProbeAnswered():
                 self._on_probe(event)
             case api.Hinted():
                 self._on_hint(event)
-            case api.LinesTold():
+            case api.CircuitsReported():
                 view = self._servers.get(event.server_id)
-                if view is not None and 0 < event.lines < NEVER:
-                    view.lines = event.lines
-                    self._note_told(view)
+                if view is not None and 0 < event.circuits < NEVER:
+                    view.circuits = event.circuits
+                    self._note_reported(view)
         return self._actions
 
     def learned(self) -> list[tuple[str, float | None, float | None, bool, bool, float]]:
@@ -311,7 +311,7 @@
             if view is None:
                 view = ServerView(entry, self._now, self._random.uniform(-0.5, 0.5))
                 # Exception (successors): until it tells its own, what was last told in its pool is its.
-                view.lines, view.capacity = self._told.get(entry.pool, (None, None))
+                view.circuits, view.capacity = self._last_reported.get(entry.pool, (None, None))
                 self._servers[entry.id] = view
                 self._start_cold(view, entry.started_ms, self._settings.rules.warm_within_ms)
             elif entry.started_ms != view.started_ms:
@@ -333,7 +333,7 @@
 
     def _on_call(self, call: api.Call) -> None:
         call_class = self._classes.get(call.class_name)
-        if call.id in self._calls or call.id in self._standing:
+        if call.id in self._calls or call.id in self._established:
             return
         if call_class is None:
             self._actions.append(api.Refuse(call.id))
@@ -344,16 +344,16 @@
         first_ms, _, part = known or (self._now, self._now, self._part_of_weight(call))
         state = self._calls[call.id] = CallState(call, call_class, self._now, first_ms, part)
         self._offer(state)
-        if len(self._held) > HELD_MOST:
-            self._refuse(min(self._held.values(), key=self._rank))
+        if len(self._queued) > QUEUED_MOST:
+            self._refuse(min(self._queued.values(), key=self._rank))
 
     def _on_established(self, event: api.Established) -> None:
         view = self._servers.get(event.server_id)
         call = self._calls.get(event.call_id)
         if call is not None:
-            if not call.has_out(event):
+            if not call.is_in_flight(event):
                 return
-            self._standing[event.call_id] = self._calls.pop(event.call_id)
+            self._established[event.call_id] = self._calls.pop(event.call_id)
             self._busy.pop(call.call.number, None)
         if view is None or event.call_id not in view.pending:
             return
@@ -378,15 +378,15 @@
         self._look_soon()
 
     def _look_soon(self) -> None:
-        if self._held:  # a server has room again: calls that are held may leave, once the batch is read
+        if self._queued:  # a server has room again: calls that are held may leave, once the batch is read
             self._due(self._now + self._tick_ms)
 
     def _on_ended(self, event: api.AttemptEnded) -> None:
         view = self._servers.get(event.server_id)
-        call = self._calls.get(event.call_id) or self._standing.get(event.call_id)
-        if call is not None and not call.has_out(event):
+        call = self._calls.get(event.call_id) or self._established.get(event.call_id)
+        if call is not None and not call.is_in_flight(event):
             return
-        if self._standing.pop(event.call_id, None) is not None:
+        if self._established.pop(event.call_id, None) is not None:
             if event.finished:
                 call = None
             else:  # guards against a cancel that crossed the answer: the call is owed one again
@@ -432,15 +432,15 @@
         view.heard_ms = self._now
         rate = report and report.rate_per_s
         if rate and (report.wait_ms or 0.0) <= self._pressed_ms:
-            old = view.capacity if view.told_ms > -NEVER else None
+            old = view.capacity if view.reported_ms > -NEVER else None
             view.capacity = rate if old is None else old + DELAY_WEIGHT * (rate - old)
-            view.told_ms = self._now
-            self._note_told(view)
+            view.reported_ms = self._now
+            self._note_reported(view)
 
-    def _note_told(self, view: ServerView) -> None:
-        self._told[view.pool] = view.lines, view.capacity
-        if len(self._told) > POOLS_MOST:
-            del self._told[next(iter(self._told))]
+    def _note_reported(self, view: ServerView) -> None:
+        self._last_reported[view.pool] = view.circuits, view.capacity
+        if len(self._last_reported) > POOLS_MOST:
+            del self._last_reported[next(iter(self._last_reported))]
 
     # --------------------------------------------------------------------------------------- state of servers
 
@@ -469,9 +469,9 @@
         return gap_ms * (1.0 if part == 1.0 else self._random.uniform(0.5, 1.5) / part)
 
     def _fair(self, view: ServerView) -> float | None:
-        """This gateway's even share of what a server takes a second, by its reports and its lines."""
-        by_lines = view.lines * SECOND_MS / self._hold_ms if view.lines and self._hold_ms else None
-        whole = min(filter(None, (by_lines, view.capacity)), default=None)
+        """This gateway's even share of what a server takes a second, by its reports and its circuits."""
+        by_circuits = view.circuits * SECOND_MS / self._hold_ms if view.circuits and self._hold_ms else None
+        whole = min(filter(None, (by_circuits, view.capacity)), default=None)
         return whole and whole / view.senders
 
     def _part(self, view: ServerView) -> float:
@@ -488,7 +488,7 @@
         while view.answered and view.answered[0] < started_ms:  # what it answered before proves nothing
             view.answered.popleft()
         view.cold.fill, view.cold.last_ms = self._random.random() * SPLASH, self._now  # all are told at once
-        view.told_ms = -NEVER  # nor does what it told
+        view.reported_ms = -NEVER  # nor does what it told
 
     def _share(self, view: ServerView) -> float:
         """The share of its capacity that a cold server surely has now."""
@@ -504,8 +504,8 @@
         Over all gateways neither is more than the rule's multiple of what it can do, however uneven they are.
         """
         rules = self._settings.rules
-        guess = self._share(view) * (COLD_BY_LINES if view.capacity is None else COLD_BY_POOL)
-        safe = COLD_BY_REPORT if self._now < view.told_ms + FRESH_MS else guess
+        guess = self._share(view) * (COLD_BY_CIRCUITS if view.capacity is None else COLD_BY_POOL)
+        safe = COLD_BY_REPORT if self._now < view.reported_ms + FRESH_MS else guess
         known = safe * rules.overload_multiple * (self._fair(view) or 0.0)
         proven = max(0.0, view.lately(self._now) - SECOND_MS / LOOK_BACK_MS)  # a single answer is chance
         return max(FLOOR_RATE / view.senders, known, min(COLD_TIMES, rules.overload_multiple) * proven)
@@ -611,7 +611,7 @@
         harms a second caller to a number that was just given up by another, whose call then ranks as late.
         """
         del self._calls[call.call.id]
-        self._held.pop(call.call.id, None)
+        self._queued.pop(call.call.id, None)
         if call.call.number is None:
             return
         self._unserved[call.call.number, call.call_class.name] = call.first_ms, self._now, call.part
@@ -654,13 +654,13 @@
         for call in [c for c in self._calls.values() if c.server is not None]:
             again_ms = min(again_ms, self._mind(call))
         stuck: set[tuple] = set()
-        for call in sorted(self._held.values(), key=self._rank, reverse=True):
+        for call in sorted(self._queued.values(), key=self._rank, reverse=True):
             like = call.call_class.pools, call.call.tenant, call.attempts > 0  # budgets tell these apart
             if like in stuck and self._now < self._ends_ms(call):
                 again_ms = min(again_ms, self._ends_ms(call))
             else:  # where a call found no room, one of less worth finds none
                 self._offer(call)
-                if self._now >= call.not_before_ms and call.call.id in self._held:
+                if self._now >= call.not_before_ms and call.call.id in self._queued:
                     stuck.add(like)
         self._due(again_ms)
 
@@ -705,9 +705,9 @@
         elif self._now >= self._ends_ms(call):
             self._end(call)
         elif self._now >= call.not_before_ms and any(self._gate(call, view) for view in self._route(call)):
-            self._held.pop(call.call.id, None)
+            self._queued.pop(call.call.id, None)
         else:
-            self._held[call.call.id] = call
+            self._queued[call.call.id] = call
             self._due(min(self._ends_ms(call), max(call.not_before_ms, self._room_at(call))))
 
     def _room_at(self, call: CallState) -> float:
--- a/canvasplank/program.py
+++ b/canvasplank/program.py
@@ -22,8 +22,8 @@
 from canvasplank.network.discovery import Discovery
 from canvasplank.network.loop import PipeLoop
 from canvasplank.network.servers import Servers
-from canvasplank.network.stream import Held
-from canvasplank.parts import Made, switched_on
+from canvasplank.network.stream import BufferBudget
+from canvasplank.parts import PartFactory, enabled_parts
 from canvasplank.policy import Controller
 from canvasplank.settings import (
     Configuration,
@@ -54,7 +54,7 @@
     """One signalling proxy; what it is made of stands open to its parts (``parts.Host``)."""
 
     def __init__(self, configuration: Configuration, read_again: Callable[[], Configuration],
-                 switched: list[Made]) -> None:
+                 factories: list[PartFactory]) -> None:
         self.configuration = configuration
         self._read_again = read_again
         settings = read_settings(configuration.settings)
@@ -64,16 +64,16 @@
         controller = self.controller = Controller(settings, int(configuration.seed, 16))
         memory = configuration.limits.memory_mb * MIB
         self.exchange = Exchange(self.turns, controller.handle, self.counters, ceilings.max_open, memory)
-        self._held = Held(memory)
+        self._budget = BufferBudget(memory)
         figures = read_figures(settings, configuration.settings)
         self._callers = Callers(self.exchange, figures, configuration.limits.sockets, ceilings.conn_idle_ms,
-                                self._held)
+                                self._budget)
         self.exchange.callers = self._callers
         gauges = read_gauges(configuration.settings)
-        self.servers = Servers(self.exchange, ceilings, settings.resend_ms, self._held, gauges)
+        self.servers = Servers(self.exchange, ceilings, settings.resend_ms, self._budget, gauges)
         self.exchange.servers = self.servers
         self.discovery = Discovery(self.turns, configuration.discovery, configuration.known.rev, self._notice,
-                            self._held, random.Random(int(configuration.seed, 16)))
+                            self._budget, random.Random(int(configuration.seed, 16)))
         longest_ms = min(LONGEST_MS, max(c.deadline_ms for c in settings.classes))
         self._leave_ms = longest_ms + SERVE_ON_MS - LEAVE_EARLY_MS
         self._closing_ms = 0.0
@@ -82,7 +82,7 @@
         self._admin = Admin(self)
         self.count_fleet: Callable[[], int] = int
         self.part_of_fleet: Callable[[], float | None] = lambda: None
-        self._parts = [made(self) for made in switched]
+        self._parts = [made(self) for made in factories]
         self._callers.able = lambda: all(part.ready() for part in self._parts)
 
     async def run(self) -> None:
@@ -124,7 +124,7 @@
 
     def figures(self) -> list[str]:
         """See ``Operated``; a request that was answered is in flight until the call it set up is over."""
-        in_flight = self.exchange.open_calls + self.exchange.standing_calls
+        in_flight = self.exchange.open_calls + self.exchange.established_calls
         return self.counters.figures(in_flight, *self.servers.known_and_excluded())
 
     def quiesce(self) -> None:
@@ -173,7 +173,7 @@
         self.configuration = fresh
         self._callers.limit(fresh.limits.sockets)
         self.exchange.limit(fresh.limits.memory_mb * MIB)
-        self._held.limit(fresh.limits.memory_mb * MIB)
+        self._budget.limit(fresh.limits.memory_mb * MIB)
         self.discovery.move(fresh.discovery)
         for part in self._parts:
             part.reloaded()
@@ -226,9 +226,9 @@
     signals.hold()
     try:
         events.begin(os.environ.get("CANVASPLANK_LOG", "human"))
-        switched = switched_on(os.environ)
+        factories = enabled_parts(os.environ)
         with asyncio.Runner(loop_factory=PipeLoop) as runner:
-            runner.run(_serve(_configuration(), switched))
+            runner.run(_serve(_configuration(), factories))
     except (ConfigurationError, api.SettingsError, OSError, ValueError) as fault:
         print(f"canvasplank: {one_line(fault)}", file=sys.stderr)
         return 2
@@ -253,8 +253,8 @@
     return " ".join(str(fault).split())
 
 
-async def _serve(configuration: Configuration, switched: list[Made]) -> None:
-    program = Program(configuration, _configuration, switched)
+async def _serve(configuration: Configuration, factories: list[PartFactory]) -> None:
+    program = Program(configuration, _configuration, factories)
     gc.freeze()  # what is made at the start stays: collections need not look at it
     with contextlib.suppress(asyncio.CancelledError):
         await program.run()
--- a/canvasplank/settings.py
+++ b/canvasplank/settings.py
@@ -105,16 +105,16 @@
 class Gauges:
     """Reads what servers tell of themselves, in the columns that the settings name.
 
-    The first two are a group's free lines and all its lines, whatever the settings call them: a deployment
-    may name them otherwise than another, and reading them by name alone left its servers without lines.
+    The first two are a group's free circuits and all its circuits, whatever the settings call them: a
+    deployment may name them otherwise than another, and reading them by name left its servers without any.
     """
 
     def __init__(self, columns: Iterable[str]) -> None:
         self._columns = tuple(columns)
         self._free, self._size = (*self._columns, "", "")[:2]
 
-    def lines(self, figures: Mapping[str, float]) -> tuple[float, float] | None:
-        """Free lines and all lines, where both are told."""
+    def circuits(self, figures: Mapping[str, float]) -> tuple[float, float] | None:
+        """Free circuits and all circuits, where both are told."""
         free, size = known(figures.get(self._free)), known(figures.get(self._size))
         return None if free is None or size is None else (free, size)
 
--- a/canvasplank/starting/part.py
+++ b/canvasplank/starting/part.py
@@ -9,11 +9,11 @@
 import msgspec
 
 from canvasplank import interface as api
-from canvasplank.parts import Host, Made, Part
+from canvasplank.part_settings import load_part_settings
+from canvasplank.parts import Host, Part, PartFactory
 from canvasplank.settings import Instance, read_settings
 from canvasplank.starting.polls import SECOND_MS, PollPace
 from canvasplank.starting.subset import Subset
-from canvasplank.switch import load_switch
 
 Rate = Annotated[float, msgspec.Meta(ge=0, le=100_000)]
 LOOK_MS = 1000.0  # between two looks at servers that are left to others, and at the fleet's size
@@ -33,9 +33,9 @@
     proxies_per_server: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 0
 
 
-def load(path: str) -> Made:
+def load(path: str) -> PartFactory:
     """Read its file."""
-    settings = load_switch(path, "starting", Starting, lambda _: None)
+    settings = load_part_settings(path, "starting", Starting, lambda _: None)
     return lambda host: StartingPart(host, settings)
 
 
@@ -100,7 +100,7 @@
 
     def _carries(self, server_id: str) -> bool:
         """Guards a release that is still on its way to a server against the end of our connection to it."""
-        return self._host.exchange.carries(server_id) or self._host.servers.owes(server_id)
+        return self._host.exchange.carries(server_id) or self._host.servers.has_unsettled_releases(server_id)
 
     def _fleet(self) -> int:
         return max(1, self._host.count_fleet() or self._instances)
--- a/canvasplank/store/config.py
+++ b/canvasplank/store/config.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from canvasplank.engine.where import check_where
+from canvasplank.part_settings import load_part_settings
 from canvasplank.store.backend import Backend
-from canvasplank.switch import load_switch
 
 Milliseconds = Annotated[float, msgspec.Meta(gt=0, le=60_000)]
 
@@ -38,7 +38,7 @@
 
 def load_store(path: str) -> Store:
     """Read the file."""
-    return load_switch(path, "store", Store, _check)
+    return load_part_settings(path, "store", Store, _check)
 
 
 def _check(store: Store) -> None:
--- a/canvasplank/store/part.py
+++ b/canvasplank/store/part.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from canvasplank.parts import Host, Made, Part
+from canvasplank.parts import Host, Part, PartFactory
 from canvasplank.store.config import Store, load_store
 from canvasplank.store.outbox import Outbox
 from canvasplank.store.writer import Writer
 
 
-def load(path: str) -> Made:
+def load(path: str) -> PartFactory:
     """Read its file."""
     settings = load_store(path)
     return lambda host: StorePart(host, settings)
--- a/canvasplank/wirehost.py
+++ b/canvasplank/wirehost.py
@@ -57,7 +57,7 @@
             "request": self._request,
             "head_received": lambda m: api.Established(m[2], m[3], m[5], m[4]),
             "settled": self._settled,
-            "hangup": lambda m: api.CallerGone(m[2]),
+            "hangup": lambda m: api.CallAbandoned(m[2]),
             "ring": lambda m: api.TimerFired(m[2]),
             "echo": self._echo,
             "peer": lambda m: None,
@@ -137,20 +137,20 @@
         )
 
     def _echo(self, message: list[Any]) -> api.Event | None:
-        """The answer to a probe, or the free lines, which come unasked and in no time."""
+        """The answer to a probe, or the free circuits, which come unasked and in no time."""
         _, instance, server, code, waited, row = message
         report = self._report(instance, row)
         if waited or report is not None or code != "GOOD":
             return api.ProbeAnswered(server, code == "GOOD", report)
-        lines = self._gauges[instance].lines(self._told(instance, row))
-        return None if lines is None else api.LinesTold(server, *lines)
+        circuits = self._gauges[instance].circuits(self._reported(instance, row))
+        return None if circuits is None else api.CircuitsReported(server, *circuits)
 
-    def _told(self, instance: int, row: list[float | None] | None) -> dict[str, float | None]:
+    def _reported(self, instance: int, row: list[float | None] | None) -> dict[str, float | None]:
         return dict(zip(self._columns[instance], row or (), strict=False))
 
     def _report(self, instance: int, row: list[float | None] | None,
                 wait_ms: float | None = None) -> api.Report | None:
-        return self._gauges[instance].report(self._told(instance, row), wait_ms)
+        return self._gauges[instance].report(self._reported(instance, row), wait_ms)
 
 
 def _encode(instance: int, action: api.Action) -> list[Any]:
--- a/canvasplank/work/config.py
+++ b/canvasplank/work/config.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from canvasplank.switch import load_switch
+from canvasplank.part_settings import load_part_settings
 
 Milliseconds = Annotated[float, msgspec.Meta(gt=0, le=366 * 24 * 3_600_000)]
 
@@ -25,7 +25,7 @@
 
 def load_work(path: str) -> Work:
     """Read the file."""
-    return load_switch(path, "work", Work, _check)
+    return load_part_settings(path, "work", Work, _check)
 
 
 def _check(work: Work) -> None:
--- a/experiments/plan.py
+++ b/experiments/plan.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from canvasplank.switch import load_switch
+from canvasplank.part_settings import load_part_settings
 
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=3600)]
 Part = Annotated[float, msgspec.Meta(gt=0, le=1)]
@@ -84,7 +84,7 @@
 
 def load_experiment(path: str) -> Experiment:
     """Read the file; whatever is wrong with it is a ``ConfigurationError`` of one line."""
-    return load_switch(path, "experiment", Experiment, _check)
+    return load_part_settings(path, "experiment", Experiment, _check)
 
 
 def _check(experiment: Experiment) -> None:
--- a/tests/test_connecting.py
+++ b/tests/test_connecting.py
@@ -9,14 +9,14 @@
 from canvasplank.codecs import sip
 from canvasplank.deadlines import Deadlines, Turns
 from canvasplank.network.connecting import Connecting
-from canvasplank.network.stream import Held, Stream
+from canvasplank.network.stream import BufferBudget, Stream
 
 
 class Heard(Stream):
     """Notes what becomes of it."""
 
     def __init__(self) -> None:
-        super().__init__(Turns(Deadlines()), "server", sip.Parser(), Held(1e6))
+        super().__init__(Turns(Deadlines()), "server", sip.Parser(), BufferBudget(1e6))
         self.told: list[bytes | str] = []
 
     def connected(self) -> None:
@@ -48,7 +48,7 @@
     with socket.create_server(("127.0.0.1", 0)) as listener:
         heard = asyncio.run(connect(listener, resets=True))
         assert heard.told == [b"BYE", "failed"]
-        assert heard.all_held.total == 0, "what is over is held no more"
+        assert heard.budget.total == 0, "what is over is held no more"
 
 
 def test_small_messages_are_not_held_back():
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -30,7 +30,7 @@
 from canvasplank.network.callers import Callers
 from canvasplank.network.loop import PipeLoop
 from canvasplank.network.servers import Servers
-from canvasplank.network.stream import Held
+from canvasplank.network.stream import BufferBudget
 from canvasplank.program import SERVE_ON_MS, Program
 from canvasplank.settings import Ceilings, Figures, Gauges, Instance, load_configuration
 
@@ -71,7 +71,8 @@
             release=lambda _, call_id, __: self.released.append(call_id),
             set_up=lambda *_: None, cancel=lambda *_: None)
         figures = Figures(frozenset({"low"}), frozenset(), None, None)
-        self.callers = self.exchange.callers = Callers(self.exchange, figures, sockets, 1000.0, Held(1e6))
+        self.callers = self.exchange.callers = Callers(self.exchange, figures, sockets, 1000.0,
+                                                       BufferBudget(1e6))
         self.port = free_port()
 
     async def caller(self) -> socket.socket:
@@ -152,7 +153,7 @@
 
     edge = _run(run())
     assert edge.released == [ID]
-    assert (edge.exchange.open_calls, edge.exchange.standing_calls) == (0, 0)
+    assert (edge.exchange.open_calls, edge.exchange.established_calls) == (0, 0)
 
 
 @pytest.mark.parametrize("first", ["a test", "a set-up that is out"])
@@ -221,7 +222,7 @@
 
     came, edge = _run(run())
     assert came == (isup.answer(ID, b"v=0 answer") if stands else b"")
-    assert (edge.exchange.open_calls, edge.exchange.standing_calls) == (0, 0)
+    assert (edge.exchange.open_calls, edge.exchange.established_calls) == (0, 0)
 
 
 def test_a_connection_that_broke_in_the_queue_hides_none_behind_it_from_a_listener_that_closes():
@@ -520,7 +521,7 @@
             [api.SetUp(ID, "s-a", 9000)] if isinstance(event, api.ServerList) and exchange.open_calls else [])
         exchange = Exchange(turns, decide, Counters(), 100, 1e6)
         ceilings = Ceilings(conn_idle_ms=60_000.0, connect_timeout_ms=15_000.0, max_open=100)
-        exchange.servers = servers = Servers(exchange, ceilings, 500.0, Held(1e6), Gauges([]))
+        exchange.servers = servers = Servers(exchange, ceilings, 500.0, BufferBudget(1e6), Gauges([]))
         with socket.create_server(("127.0.0.1", 0)) as listener:
             listener.settimeout(WAIT_S)
             entry = Instance("s-a", f"127.0.0.1:{listener.getsockname()[1]}", lifecycle="ready")
@@ -552,8 +553,8 @@
         now_ms, writers = [0.0], []
         turns = Turns(Deadlines(), clock=lambda: now_ms[0])
         exchange = Exchange(turns, lambda _, event: [], Counters(), 100, 1e6)
-        exchange.servers = servers = Servers(exchange, Ceilings(15_000.0, 60_000.0, 100), 500.0, Held(1e6),
-                                             Gauges(["free", "size"]))
+        exchange.servers = servers = Servers(exchange, Ceilings(15_000.0, 60_000.0, 100), 500.0,
+                                             BufferBudget(1e6), Gauges(["free", "size"]))
         notify = sip.request("NOTIFY", "lines", ID, 1, {"X-Gauges": "free:12;size:40"})
 
         def joined(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -11,15 +11,16 @@
 from canvasplank.fleet.config import load_fleet
 from canvasplank.learning.config import load_learning
 from canvasplank.membership.config import load_membership
-from canvasplank.parts import TABLE, switched_on
+from canvasplank.part_settings import load_part_settings
+from canvasplank.parts import TABLE, enabled_parts
 from canvasplank.starting.part import Starting
 from canvasplank.store.config import load_store
-from canvasplank.switch import load_switch
 from canvasplank.work.config import load_work
 
 ROOT = Path(__file__).parent.parent
 LOADS = {"fleet": load_fleet, "learning": load_learning, "membership": load_membership, "store": load_store,
-         "work": load_work, "starting": lambda path: load_switch(path, "starting", Starting, lambda _: None)}
+         "work": load_work,
+         "starting": lambda path: load_part_settings(path, "starting", Starting, lambda _: None)}
 
 
 @pytest.mark.parametrize("name", sorted(LOADS))
@@ -33,7 +34,7 @@
     named = dict(re.findall(r"export (CANVASPLANK_\w+)=(\S+?);", run))
     assert named == {"CANVASPLANK_STARTING": "deploy/subset.toml"}
     assert set(named) <= {entry.variable for entry in TABLE}
-    assert len(switched_on({name: str(ROOT / path) for name, path in named.items()})) == 1
+    assert len(enabled_parts({name: str(ROOT / path) for name, path in named.items()})) == 1
     starting = LOADS["starting"](str(ROOT / "deploy" / "subset.toml"))
     assert starting == Starting(servers_per_proxy=starting.servers_per_proxy,
                                 proxies_per_server=starting.proxies_per_server), "the subset alone"
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,7 +10,7 @@
 
 from canvasplank.deadlines import Deadlines, Turns
 from canvasplank.network.discovery import Discovery
-from canvasplank.network.stream import Held
+from canvasplank.network.stream import BufferBudget
 
 COMMENT_MS = 1000.0  # between two words of a board that is well
 
@@ -23,7 +23,7 @@
         host, port = server.sockets[0].getsockname()
         now = [0.0]
         turns = Turns(Deadlines(), clock=lambda: now[0])
-        discovery = Discovery(turns, f"{host}:{port}", 1, lambda notice: None, Held(1e6))
+        discovery = Discovery(turns, f"{host}:{port}", 1, lambda notice: None, BufferBudget(1e6))
         discovery.start()
         first = discovery._stream
         async with asyncio.timeout(20):
@@ -81,7 +81,7 @@
         told, nobody = watched.told, "127.0.0.1:1"
         address = await watched.listen()
         discovery = Discovery(watched.turns, nobody if moved else address, 1,
-                              lambda notice: told.append(notice.rev), Held(1e6), random.Random(1))
+                              lambda notice: told.append(notice.rev), BufferBudget(1e6), random.Random(1))
         discovery.start()
         discovery.move(address)
         async with asyncio.timeout(60):
@@ -139,7 +139,7 @@
         old = await asyncio.start_server(refuse, "127.0.0.1", 0)
         host, port = old.sockets[0].getsockname()
         watched = Watched()
-        discovery = Discovery(watched.turns, f"{host}:{port}", 1, lambda notice: None, Held(1e6),
+        discovery = Discovery(watched.turns, f"{host}:{port}", 1, lambda notice: None, BufferBudget(1e6),
                               random.Random(1))
         discovery.pace = Pace()
         discovery.start()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -21,8 +21,8 @@
     return settings(instances=instances, classes=CLASSES, **more)
 
 
-def lines(server: str, count: float, free: float | None = None) -> api.LinesTold:
-    return api.LinesTold(server, count if free is None else free, count)
+def lines(server: str, count: float, free: float | None = None) -> api.CircuitsReported:
+    return api.CircuitsReported(server, count if free is None else free, count)
 
 
 def fleet(instances: int) -> list[Gateway]:
@@ -164,8 +164,8 @@
     def test_absurd_lines_are_no_measure(self, told):
         g = Gateway(large())
         g.servers(ready("a", 0))
-        g.tell(api.LinesTold("a", *told))
-        g.tell(api.LinesTold("no server", 1, 1))
+        g.tell(api.CircuitsReported("a", *told))
+        g.tell(api.CircuitsReported("no server", 1, 1))
         assert sent_to(g.call()[1]) == ["a"]
 
     def test_second_choices_go_by_size_in_a_large_fleet_only(self):
@@ -348,7 +348,7 @@
             g.servers(ready("a", pool))
             g.tell(lines("a", 10))
             g.servers(gone("a", pool))
-        assert len(g.controller._told) == policy.POOLS_MOST
+        assert len(g.controller._last_reported) == policy.POOLS_MOST
 
 
 def test_trials_do_not_cut_the_rate_of_a_silent_server():
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -83,7 +83,7 @@
     "deadlines", "closing", "background", "engine.errors", "engine.where", "engine.migrations",
     "engine.sqlite", "engine.postgresql", "fleet.rows", "fleet.division", "fleet.ledger", "fleet.holder",
     "fleet.watch", "fleet.spending", "fleet.pace", "learning.view", "learning.merge", "policy", "settings",
-    "switch", "learning.config", "learning.asking", "learning.exporting", "membership.kept",
+    "part_settings", "learning.config", "learning.asking", "learning.exporting", "membership.kept",
     "membership.roster", "membership.keeper", "membership.config", "wirehost", "exchange", "store.records",
     "store.outbox",
     "store.schema", "store.backend", "store.sqlite", "store.postgresql", "store.config", "store.writer",
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -363,7 +363,7 @@
     def test_4_a_cold_server_gets_more_as_it_answers(self):
         g = Gateway(settings(classes=(replace(LOW, hold_ms=8000.0),)))
         g.servers(ready("a", 0))
-        g.tell(api.LinesTold("a", 500, 500))
+        g.tell(api.CircuitsReported("a", 500, 500))
         g.steady("a", 0, 40, gap_ms=100)
         g.servers(ready("a", 0, started_ms=g.now), kind=api.ListKind.CHANGES)
         g.done.clear()
@@ -415,7 +415,7 @@
             api.Established("no call", 0, "a", 10),
             api.Established("no call", 0, "no server", 10),
             api.AttemptEnded("no call", 0, "no server", Outcome.TIMED_OUT, finished=True),
-            api.CallerGone("no call"),
+            api.CallAbandoned("no call"),
             api.TimerFired("no timer"),
             api.ProbeAnswered("no server", answered=True),
         ):
@@ -464,10 +464,10 @@
             gateway.end(call_id, server, Outcome.ENDED, finished=True)
         gateway.servers()
         controller = gateway.controller
-        assert not controller._calls and not controller._standing and not controller._servers
+        assert not controller._calls and not controller._established and not controller._servers
 
     def test_held_calls_are_bounded_and_the_least_worth_goes(self, monkeypatch):
-        monkeypatch.setattr(policy, "HELD_MOST", 3)
+        monkeypatch.setattr(policy, "QUEUED_MOST", 3)
         g = Gateway()
         kept = [g.call("high")[0] for _ in range(2)]
         refused = []
@@ -542,7 +542,7 @@
         classes = tuple(replace(c, hold_ms=2000.0) for c in SETTINGS.classes)
         g = Gateway(settings(classes=classes))
         g.servers(ready("a", 0))
-        g.tell(api.LinesTold("a", 80, 80))
+        g.tell(api.CircuitsReported("a", 80, 80))
         call_id, _ = g.call(first=0)
         g.until(400 if sign == "late" else 100)
         if sign == "late":  # the first of all, so that no answer in time speaks for chance
@@ -630,7 +630,7 @@
         assert view.capacity is None and gateway.controller._fair(view) is None
 
     def test_it_sets_the_even_share_where_lines_promise_more(self, gateway):
-        gateway.tell(api.LinesTold("a", 200, 200))
+        gateway.tell(api.CircuitsReported("a", 200, 200))
         settings_of = gateway.controller._settings
         view = gateway.controller._servers["a"]
         gateway.tell(api.ProbeAnswered("a", answered=True, report=report(8.0)))
@@ -673,7 +673,7 @@
         view = g.controller._servers["a"]
         view.answered.extend(g.now + policy.LOOK_BACK_MS * i / 40 for i in range(40))
         g.now = policy.LOOK_BACK_MS - 100
-        g.controller.handle(g.now, api.CallerGone("nobody"))
+        g.controller.handle(g.now, api.CallAbandoned("nobody"))
         assert g.controller._cold_rate(view) > view.lately(g.now) > 0
 
 
@@ -708,5 +708,5 @@
         for _ in range(30):
             call_id, _ = g.call(tenant="small", number="n")
             part = g.controller._calls[call_id].part
-            g.tell(api.CallerGone(call_id))
+            g.tell(api.CallAbandoned(call_id))
         assert part == 1.0, "thirty tries of one call"
--- a/tests/test_rules_property.py
+++ b/tests/test_rules_property.py
@@ -120,9 +120,9 @@
             case ("leave", which) if self.owed:
                 call = sorted(self.owed)[which % len(self.owed)]
                 del self.owed[call]
-                self.g.tell(api.CallerGone(call))
+                self.g.tell(api.CallAbandoned(call))
             case ("lines", name, free, lines):
-                self.g.tell(api.LinesTold(name, free, lines))
+                self.g.tell(api.CircuitsReported(name, free, lines))
             case ("report", name, figure):
                 report = api.Report(figure, figure, figure, figure, figure)
                 self.g.tell(api.ProbeAnswered(name, answered=figure > 0, report=report))
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -153,7 +153,7 @@
             gateway = Gateway(settings(instances=12, classes=(
                 api.CallClass("low", 1600, 9000, 1, 0.1, hold_ms=1000.0),)))
             gateway.servers(api.Server("a", 0, api.ServerState.READY, 0.0, senders))
-            gateway.tell(api.LinesTold("a", 60.0, 60.0))
+            gateway.tell(api.CircuitsReported("a", 60.0, 60.0))
             gateway.alive["a"] = 40
             for _ in range(100):
                 gateway.call()
@@ -183,24 +183,25 @@
             assert sum(at >= 7000 for at in sent) > 1.5 * first, "it grows"
 
 
-@pytest.mark.parametrize(("owed", "unheard", "owes"), [
+@pytest.mark.parametrize(("pending", "unconfirmed", "unsettled"), [
     ({}, {}, False),
     ({"call": 16}, {}, True),  # for a connection that is not up yet
     ({}, {"call": (16, 9_500.0)}, True),  # sent half a second ago, and not confirmed
     ({}, {"call": (16, 8_000.0)}, False),  # by a server that confirms none
 ])
-def test_a_server_is_kept_while_a_release_is_on_its_way_there(owed, unheard, owes):
+def test_a_server_is_kept_while_a_release_is_on_its_way_there(pending, unconfirmed, unsettled):
     """It was let go with the release of its last call unsent, and would have kept that call's line."""
     servers = Servers.__new__(Servers)
     servers.turns = SimpleNamespace(now_ms=10_000.0)
-    servers._peers = {"s-0": SimpleNamespace(owed=owed, streams=[SimpleNamespace(unheard=unheard)])}
-    assert servers.owes("s-0") is owes and not servers.owes("s-1")
+    servers._peers = {"s-0": SimpleNamespace(pending_releases=pending,
+                                             streams=[SimpleNamespace(unconfirmed=unconfirmed)])}
+    assert servers.has_unsettled_releases("s-0") is unsettled and not servers.has_unsettled_releases("s-1")
     host = Fake(100)
-    host.servers.owes = servers.owes
+    host.servers.has_unsettled_releases = servers.has_unsettled_releases
     start = StartingPart(host, Starting(servers_per_proxy=1))
     start.narrowed(True, instances(1))
     kept_on = {i.instance_id: i.lifecycle for i in start.narrowed(False, instances(9)[1:])}
-    assert (kept_on.get("s-0") == "draining") is owes, "eight better ones have come"
+    assert (kept_on.get("s-0") == "draining") is unsettled, "eight better ones have come"
 
 
 class Fake:
@@ -212,7 +213,7 @@
         self.configuration = SimpleNamespace(settings=example["settings"], seed="1", name="proxy-0")
         self.exchange = SimpleNamespace(carries=lambda _: False)
         self.discovery = SimpleNamespace()
-        self.servers = SimpleNamespace(processes=list, owes=lambda _: False)
+        self.servers = SimpleNamespace(processes=list, has_unsettled_releases=lambda _: False)
         self.count_fleet, self.part_of_fleet = lambda: members, lambda: part
 
 
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -135,7 +135,7 @@
         ["echo", 0, "s:1", "LATE", 250.0, None],
     )
     assert events == [
-        api.LinesTold("s:1", 12, 90),
+        api.CircuitsReported("s:1", 12, 90),
         None,
         api.ProbeAnswered("s:1", True, api.Report(utilisation=0.5, queue=3)),
         api.ProbeAnswered("s:1", False, None),
