Graceful shutdown is one state machine with named phases

Need: the end of the program was flags and times spread over program, exchange, callers and servers. shutdown.Shutdown holds its phases (serving, lame duck, draining, disconnecting, stopped) and every time it keeps to, without I/O or clock; the program does what entering a phase asks for. Behaviour as before, but that connections have at least one look (20 ms) between the end of writing and the process's end.

--- a/canvasplank/exchange.py
+++ b/canvasplank/exchange.py
@@ -140,7 +140,6 @@
         self.callers: CallerSide
         self.servers: ServerSide
         self.recorder: Recorder | None = None
-        self.closing = False
         self._decide = controller
         self._most_open = most_open
         self.limit(memory_bytes)
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -144,7 +144,7 @@
         self.streams: dict[CallerStream, None] = {}  # in the order of their coming
         self.accepting = True
         self.quiesced = False  # the operators send callers away: connections go as soon as nothing is open
-        self.able: Callable[[], bool] = lambda: True  # whether a call could be served at all
+        self.is_ready: Callable[[], bool] = lambda: True  # whether new callers are to come here at all
         self._pending_releases: dict[str, int] = {}  # releases that wait for a connection, with their causes
         self._listener: Listener | None = None
         self.limit(sockets)
@@ -171,8 +171,8 @@
         if self._listener is not None:
             self._listener.close()
 
-    def part(self) -> None:
-        """The program ends, nothing is owed: end every connection, and read on for what crosses that.
+    def disconnect(self) -> None:
+        """The program ends, all is answered: end every connection, and read on for what crosses that.
 
         Guards against a set-up that is written to a connection which nobody reads any more while the process
         winds down, and which is then closed on without an answer: found on an upgrade day.
@@ -183,7 +183,7 @@
     @property
     def takes_callers(self) -> bool:
         """Whether a test is passed: new callers may be sent here."""
-        return not self.exchange.closing and not self.quiesced and self.able()
+        return not self.quiesced and self.is_ready()
 
     def quiesce(self) -> None:
         """Send callers away: each connection is closed once it has no open set-up, from now on."""
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -118,7 +118,7 @@
         """Read what it says."""
         self.peer.heard_ms = self.turns.now_ms
         for message in self.messages(data):
-            if not self.servers.closing:
+            if not self.servers.disconnecting:
                 self.servers.take(self, message)
 
     def reported(self) -> None:
@@ -174,7 +174,7 @@
         self._probes: dict[str, str] = {}
         self._probe_count = 0
         self.opening: Opening | None = None  # None: all servers, all at once
-        self.closing = False  # the program ends
+        self.disconnecting = False  # the program ends
         self._resend_ms = resend_ms or FIRST_RESEND_MS
         self.turns.after(LOOK_SHARE * self._resend_ms, self._look)
 
@@ -184,12 +184,12 @@
         avoided = [p for p in listed if p.state is not api.ServerState.READY or p.backoff.failures > 0]
         return len(listed), len(avoided)
 
-    def part(self) -> None:
+    def disconnect(self) -> None:
         """The program ends: heed no more, so that no release is confirmed that can not be passed on.
 
         What was said last is on its way, and is read on over: guards it against a reset of ours.
         """
-        self.closing = True
+        self.disconnecting = True
         for stream in [s for peer in self._peers.values() for s in peer.streams]:
             stream.finish()
 
@@ -330,7 +330,7 @@
     def set_up(self, server_id: str, call: CallRecord, attempt: int, wait_ms: float) -> None:
         """See ``ServerSide``."""
         peer = self._peers.get(server_id)
-        if self.closing or peer is None or peer.state is not api.ServerState.READY:
+        if self.disconnecting or peer is None or peer.state is not api.ServerState.READY:
             self.exchange.ended(server_id, call.id, attempt, api.Outcome.NO_CONNECTION)
             return
         self._connect(peer, wanted=True)
@@ -408,7 +408,7 @@
 
         Guards a server against a connection from each of hundreds of proxies that start at once.
         """
-        if self.closing or (self.turns.now_ms < peer.opens_ms and not wanted):
+        if self.disconnecting or (self.turns.now_ms < peer.opens_ms and not wanted):
             return
         current = peer.current
         if current is not None and (current.is_open or current.connecting is not None):
--- a/canvasplank/program.py
+++ b/canvasplank/program.py
@@ -37,17 +37,11 @@
     read_settings,
     split_address,
 )
+from canvasplank.shutdown import Phase, Shutdown
 
 LOG = logging.getLogger(__name__)
-SERVE_ON_MS = 700.0  # after SIGTERM callers may still come for so long
-LONGEST_MS = 3000.0  # a caller's deadline counts as no longer than this when we are to end
 MIB = 2**20
 AT_START = ("name", "listen", "admin", "settings")  # what holds from the next start on when it has changed
-LEAVE_EARLY_MS = 300.0  # whatever is open so long before somebody may kill us is failed
-KILLED_EARLY_MS = 100.0  # and all is to be done so long before it
-LOOK_MS = 20.0
-FLUSH_MS = 100.0  # past that, for the last bytes to leave
-PART_MS = 100.0  # for callers to hear the end of their connections; what crosses it does so within 50 ms
 
 
 class Program:
@@ -74,16 +68,14 @@
         self.exchange.servers = self.servers
         self.discovery = Discovery(self.turns, configuration.discovery, configuration.known.rev, self._notice,
                             self._budget, random.Random(int(configuration.seed, 16)))
-        longest_ms = min(LONGEST_MS, max(c.deadline_ms for c in settings.classes))
-        self._leave_ms = longest_ms + SERVE_ON_MS - LEAVE_EARLY_MS
-        self._closing_ms = 0.0
+        self._shutdown = Shutdown(max(c.deadline_ms for c in settings.classes))
         self._done = asyncio.Event()
         self._listening = False
         self._admin = Admin(self)
         self.count_fleet: Callable[[], int] = int
         self.part_of_fleet: Callable[[], float | None] = lambda: None
         self._parts = [made(self) for made in factories]
-        self._callers.able = lambda: all(part.ready() for part in self._parts)
+        self._callers.is_ready = lambda: self._serving and all(part.ready() for part in self._parts)
 
     async def run(self) -> None:
         """Serve until told to stop."""
@@ -98,23 +90,22 @@
         for part in self._parts:
             await part.start()
         self.discovery.start()
-        if not self.exchange.closing:
+        if self._serving:
             self._callers.listen(*split_address(self.configuration.listen))
             self._listening = True
             LOG.info("%s listens on %s", self.configuration.name, self.configuration.listen)
-        if self.configuration.admin and not self.exchange.closing:
+        if self.configuration.admin and self._serving:
             await self._admin.listen(self.configuration.admin)
             LOG.info("the operators' address is %s", self.configuration.admin)
         await self._done.wait()
         self._admin.close()
         for part in self._parts:
-            await part.drain(self._drain_s())
+            self.turns.begin()
+            await part.drain(self._shutdown.left_ms(self.turns.now_ms) / 1000)
 
-    def _drain_s(self) -> float:
-        """What may be spent on the parts' ends: before somebody may kill us."""
-        self.turns.begin()
-        past_ms = self.turns.now_ms - self._closing_ms
-        return max(0.0, self._leave_ms + LEAVE_EARLY_MS - KILLED_EARLY_MS - past_ms) / 1000
+    @property
+    def _serving(self) -> bool:
+        return self._shutdown.phase is Phase.SERVING
 
     # -------------------------------------------------------------------------------- for the operators
 
@@ -179,46 +170,33 @@
             part.reloaded()
 
     def _terminate(self) -> None:
-        """Serve on for a moment, then close the listener, answer all that is open, and leave."""
-        if self.exchange.closing:
-            return
-        LOG.info("told to stop")
+        """Told to stop: shut down gracefully, phase by phase (``shutdown``)."""
         self.turns.begin()
-        self.exchange.closing = True
-        self._closing_ms = self.turns.now_ms
-        self.turns.after(SERVE_ON_MS, self._stop_listening)
-
-    def _stop_listening(self) -> None:
-        """Take no new connection; what lay at the listener is read before anything is ended."""
-        self._callers.stop_listening()
-        self.turns.after(LOOK_MS, self._answer_the_rest)
+        if self._shutdown.begin(self.turns.now_ms):
+            LOG.info("told to stop")
+            self._look_again()
 
-    def _answer_the_rest(self) -> None:
-        """Until all is answered and written, or somebody may kill us.
+    def _look_again(self) -> None:
+        self.turns.after(self._shutdown.next_look_ms(self.turns.now_ms), self._look)
 
-        Asked anew each time: guards a set-up that comes while the last bytes leave against being taken and
-        then left without an answer, and one who reads late against the end of an answer half written.
-        """
-        past_ms = self.turns.now_ms - self._closing_ms
-        if past_ms >= self._leave_ms:
+    def _look(self) -> None:
+        """Do what the phase of the shutdown asks for, and go on until it has stopped."""
+        before, now_ms = self._shutdown.phase, self.turns.now_ms
+        if before is Phase.DRAINING and self._shutdown.is_out_of_time(now_ms):
             self.exchange.fail_all()
-        unsent = self._callers.unsent() and past_ms < self._leave_ms + FLUSH_MS
-        if self.exchange.open_calls or unsent:
-            self.turns.after(LOOK_MS, self._answer_the_rest)
-        else:
-            self._part()
-
-    def _part(self) -> None:
-        """End all connections while they are still read; the process winds down with none open."""
-        self.servers.part()
-        self._callers.part()
-        self._until_parted(self.turns.now_ms + PART_MS)
-
-    def _until_parted(self, until_ms: float) -> None:
-        if self._callers.streams and self.turns.now_ms < until_ms:
-            self.turns.after(LOOK_MS, lambda: self._until_parted(until_ms))
-        else:
-            self._done.set()
+        phase = self._shutdown.look(now_ms, open_calls=self.exchange.open_calls,
+                                    unsent=self._callers.unsent(), connections=len(self._callers.streams))
+        if phase is not before:
+            match phase:
+                case Phase.DRAINING:
+                    self._callers.stop_listening()
+                case Phase.DISCONNECTING:
+                    self.servers.disconnect()
+                    self._callers.disconnect()
+                case Phase.STOPPED:
+                    self._done.set()
+        if phase is not Phase.STOPPED:
+            self._look_again()
 
 
 def serve() -> int:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -31,8 +31,9 @@
 from canvasplank.network.loop import PipeLoop
 from canvasplank.network.servers import Servers
 from canvasplank.network.stream import BufferBudget
-from canvasplank.program import SERVE_ON_MS, Program
+from canvasplank.program import Program
 from canvasplank.settings import Ceilings, Figures, Gauges, Instance, load_configuration
+from canvasplank.shutdown import SERVE_ON_MS
 
 ROOT = Path(__file__).parent.parent
 WAIT_S = 20.0  # bounds every wait here; none depends on speed
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -80,7 +80,7 @@
 # From the bottom up: a module imports only what stands before it.
 LAYERS = [
     "signals", "interface", "events", "codecs.errors", "codecs.isup", "codecs.sip", "codecs.sse", "counters",
-    "deadlines", "closing", "background", "engine.errors", "engine.where", "engine.migrations",
+    "deadlines", "shutdown", "closing", "background", "engine.errors", "engine.where", "engine.migrations",
     "engine.sqlite", "engine.postgresql", "fleet.rows", "fleet.division", "fleet.ledger", "fleet.holder",
     "fleet.watch", "fleet.spending", "fleet.pace", "learning.view", "learning.merge", "policy", "settings",
     "part_settings", "learning.config", "learning.asking", "learning.exporting", "membership.kept",
