--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,66 @@
+"""Files that cannot be used: one line on standard error, exit status 2, never a traceback."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from canvasplank.parts import TABLE
+
+ROOT = Path(__file__).parent.parent
+EXAMPLE = (ROOT / "examples" / "config.json").read_text()
+WAIT_S = 30.0
+
+
+def started(*arguments: str, **environment: str) -> subprocess.CompletedProcess[str]:
+    ours = ("EDGE_", "CANVASPLANK_")
+    kept = {name: value for name, value in os.environ.items() if not name.startswith(ours)}
+    return subprocess.run([sys.executable, "-m", *arguments], cwd=ROOT, env=kept | environment, text=True,
+                          capture_output=True, timeout=WAIT_S)
+
+
+def is_refused(done: subprocess.CompletedProcess[str], *words: str) -> None:
+    assert done.returncode == 2, done.stderr
+    assert done.stderr.count("\n") == 1 and "Traceback" not in done.stderr
+    assert all(word in done.stderr for word in words), done.stderr
+
+
+CONFIGURATIONS = {
+    "not JSON": ("{", ""),
+    "not UTF-8": (b"\xff\xfe", ""),
+    "empty": ("", ""),
+    "a list": ("[]", "Expected `object`"),
+    "wrongly typed": (json.dumps(json.loads(EXAMPLE) | {"listen": 7}), "listen"),
+    "a key missing": (json.dumps({k: v for k, v in json.loads(EXAMPLE).items() if k != "board"}), "board"),
+    "settings without classes": (json.dumps(json.loads(EXAMPLE) | {"settings": {"profiles": []}}), "setting"),
+}
+
+
+@pytest.mark.parametrize("name", CONFIGURATIONS)
+def test_a_configuration(tmp_path, name):
+    content, word = CONFIGURATIONS[name]
+    path = tmp_path / "config.json"
+    path.write_bytes(content if isinstance(content, bytes) else content.encode())
+    is_refused(started("canvasplank", EDGE_CONFIG=str(path)), "canvasplank: ", word)
+
+
+@pytest.mark.parametrize("path", ["", "no/such/file.json", "."], ids=["not named", "missing", "a folder"])
+def test_a_configuration_that_cannot_be_read(path):
+    is_refused(started("canvasplank", EDGE_CONFIG=path), "canvasplank: configuration")
+
+
+@pytest.mark.parametrize("content", ["= 1", "unheard_of = 1\n", b"\xff", None],
+                         ids=["not TOML", "an unknown key", "not UTF-8", "missing"])
+@pytest.mark.parametrize("variable", [entry.variable for entry in TABLE])
+def test_a_file_of_a_part(tmp_path, variable, content):
+    configuration, path = tmp_path / "config.json", tmp_path / "part.toml"
+    configuration.write_text(EXAMPLE)
+    if content is not None:
+        path.write_bytes(content if isinstance(content, bytes) else content.encode())
+    done = started("canvasplank", EDGE_CONFIG=str(configuration), **{variable: str(path)})
+    is_refused(done, "canvasplank: ")
