Connections, set-ups and servers' answers have modules of their own

Need: network/servers.py (603 lines) and network/callers.py (388) mixed one connection, the table of all and the reading of messages.

--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -2,137 +2,32 @@
 
 from __future__ import annotations
 
-import logging
-import re
 from collections.abc import Callable, Hashable
 
 from canvasplank.codecs import isup
 from canvasplank.codecs.errors import BadMessageError
-from canvasplank.exchange import CallRecord, Exchange, Final
+from canvasplank.exchange import Exchange, Final
+from canvasplank.network.caller_stream import SILENT_MS, CallerStream
 from canvasplank.network.listening import Listener
-from canvasplank.network.stream import BufferBudget, Stream
+from canvasplank.network.set_ups import call_of, is_possible
+from canvasplank.network.stream import BufferBudget
 from canvasplank.settings import Figures
 
-LOG = logging.getLogger(__name__)
 CAUSES = {
     Final.REFUSED: isup.Cause.CONGESTION,
     Final.FAILED: isup.Cause.TEMPORARY_FAILURE,
     Final.INVALID: isup.Cause.INVALID_INFORMATION,
 }
-NO_CALL = "0" * 16
-NUMBER = re.compile(r"[A-Za-z0-9*#+._-]{1,64}")  # what a server can read in the first line
-FIGURES = ("dest", "width", "via", "again")
-FIGURE = re.compile(r"-?[0-9]{1,9}")
-WAIT_MOST_MS = 3_600_000.0  # no caller waits for an hour; a longer figure is no server's to read
-DESCRIPTION_MOST = 15 * 1024  # with the server side's headers it still is one message
 YOUNG_MS = 500.0  # a connection that has asked nothing may yet be about to
-SILENT_MS = 2000.0  # a connection that says nothing whole for so long after its start, or a message begun
 PENDING_RELEASES_MOST = 20_000  # releases kept while no caller is connected
 SHARE_OF_SOCKETS = 0.6  # the most that callers may hold, so that servers, board and files find room
 ACCEPTED_SHARE = 0.1  # of those, the most that are accepted in one go
 IDLE_LOOK_MS = 250.0
 PENDING_MS = 500.0  # a release waits so long for a connection of callers' own, then any will do
 UNCONFIRMED_MS = 1000.0  # a release this old has been read, whether or not the caller says so
-UNCONFIRMED_MOST = 1000
-HALF_CLOSED_LOOK_MS = 100.0  # who has left is found after two of these: a call is not sent on 0.3 s later
 QUIESCED_IDLE_MS = 200.0  # while quiesced, a connection unused for so long is closed: new ones come for 0.2 s
 
 
-class CallerStream(Stream):
-    """One connection from callers."""
-
-    def __init__(self, callers: Callers) -> None:
-        super().__init__(callers.exchange.turns, "caller", isup.Parser(), callers.budget)
-        self._callers = callers
-        self.open: set[str] = set()  # set-ups that came here and lack their answer
-        self.half_closed = False
-        self.asked = False  # whether it has brought a whole message
-        self.made_ms = self.turns.now_ms
-        self.calls = False  # whether it has carried calls, and not only tests
-        self.unconfirmed: dict[str, tuple[int, float]] = {}  # releases not confirmed: cause, time
-        self.established: set[str] = set()  # calls answered here that stand: their releases come here
-
-    def connected(self) -> None:
-        """Take it into the pool."""
-        peer = self.transport.get_extra_info("peername")
-        self.label = f"caller {peer[0]}:{peer[1]}" if peer else "caller"
-        self._callers.joined(self)
-
-    def received(self, data: memoryview) -> None:
-        """Read what it says."""
-        for message in self.messages(data):
-            self.asked = True
-            self._callers.take(self, message)
-
-    @property
-    def message_is_overdue(self) -> bool:
-        """Whether it should have said something whole by now, a first message or the rest of one."""
-        since_ms = self.begun_ms if self.asked else self.made_ms
-        late = self.turns.now_ms - since_ms > SILENT_MS
-        return late and not self.open and (not self.asked or self.parser.in_message)
-
-    def eof_received(self) -> bool:
-        """The caller sends no more; what it is owed can still be written."""
-        self.half_closed = True
-        self._callers.resend_unconfirmed(self)  # it may have ended altogether
-        self._prove_read()
-        return bool(self.open)
-
-    def _prove_read(self) -> None:
-        """Find out whether a caller that sends no more still reads, as long as it is owed an answer.
-
-        Its end of stream is the same for one that has closed its connection, and the socket is not watched
-        any more.  Progress means nothing to a caller that reads; the machine of one that has left resets the
-        connection, which the next write meets.  Guards servers against set-ups that nobody waits for.
-        """
-        if self.open and self.is_open:
-            self.write(isup.progress(next(iter(self.open))))
-            self.turns.after(HALF_CLOSED_LOOK_MS, self._prove_read)
-
-    def ended(self, error: Exception | None) -> None:
-        """Its unanswered set-ups have nobody left to answer."""
-        self._callers.left(self)
-
-    def release(self, call_id: str, cause: int) -> None:
-        """Write the release of a call that stood."""
-        self.unconfirmed[call_id] = cause, self.turns.now_ms
-        if len(self.unconfirmed) > UNCONFIRMED_MOST:
-            del self.unconfirmed[next(iter(self.unconfirmed))]
-        self.write(isup.release(call_id, cause))
-        self.established.discard(call_id)
-        self.leave_if_quiesced()
-
-    def answered(self, call_id: str, data: bytes) -> None:
-        """Write a final answer."""
-        self.write(data)
-        self.open.discard(call_id)
-        self._leave_if_unused()
-
-    def forget(self, call_id: str) -> None:
-        """Nothing of this call is to come here any more."""
-        self.open.discard(call_id)
-        self.established.discard(call_id)
-        self._leave_if_unused()
-
-    def _leave_if_unused(self) -> None:
-        if self.half_closed and not self.open:
-            self.close()
-        self.leave_if_quiesced()
-
-    @property
-    def carries_nothing(self) -> bool:
-        """No set-up is open here, and no call that was answered here stands."""
-        return not self.open and not self.established
-
-    def leave_if_quiesced(self) -> None:
-        """While the operators send callers away, a connection goes once it carries nothing.
-
-        At the end of the turn: guards a set-up that lies there unread against our end of the connection.
-        """
-        if self._callers.quiesced and self.carries_nothing:
-            self.turns.after(0.0, lambda: self._callers.quiesced and self.carries_nothing and self.finish())
-
-
 class Callers:
     """All connections from callers."""
 
@@ -296,9 +191,9 @@
                 raise BadMessageError(f"a message of type {message.kind} is no caller's")
 
     def _set_up(self, stream: CallerStream, message: isup.Message) -> None:
-        call = self._call(stream, message)
+        call = call_of(stream, message, self._figures, self.exchange.turns)
         new = call.id not in stream.open
-        if new and not self._possible(call, message):
+        if new and not is_possible(call, message, self._figures):
             # Guards the servers' work, and other callers' set-ups, against what no server can use.
             self.exchange.invalid(call)
             return
@@ -308,51 +203,6 @@
                 stream.open.discard(call.id)
             raise BadMessageError(f"set-up {call.id}: the id is another call's")
 
-    def _possible(self, call: CallRecord, message: isup.Message) -> bool:
-        """Whether class, tenant and figures are within what the settings know."""
-        tenants = self._figures.tenants
-        if call.class_name not in self._figures.classes or (tenants and call.tenant not in tenants):
-            return False
-        figures = _figures(message)
-        pool, width = figures.get("dest", -1), figures.get("width", 1)
-        pools, most = self._figures.pools, self._figures.most_width
-        return ((pool == -1 or pools is None or pool in pools)
-                and width >= 1 and (most is None or width <= most))
-
-    def _call(self, stream: CallerStream, message: isup.Message) -> CallRecord:
-        """The call that a set-up asks for; one that no server could read is a bad message.
-
-        Guards against figures that are no figures (a wait of 'nan' would spoil the order of the deadlines),
-        and against a server ending a connection, with other callers' calls, over what it cannot read.
-        """
-        figures = _figures(message)
-        wait_text = message.text(isup.Parameter.WAIT)
-        try:
-            wait_ms = float(wait_text)
-        except ValueError as fault:
-            raise BadMessageError(f"set-up {message.call_id}: {fault}") from None
-        if not 0 < wait_ms <= WAIT_MOST_MS:  # a 'nan' is not, either
-            raise BadMessageError(f"set-up {message.call_id}: a wait of {wait_text[:20]!r}")
-        number = message.text(isup.Parameter.NUMBER)
-        if message.call_id == NO_CALL or not NUMBER.fullmatch(number):
-            raise BadMessageError(f"set-up {message.call_id}: no id, or a number of {number[:20]!r}")
-        description = message.parameters.get(isup.Parameter.DESCRIPTION, b"")
-        if not 0 < len(description) <= DESCRIPTION_MOST:
-            raise BadMessageError(f"set-up {message.call_id}: a description of {len(description)} bytes")
-        turns = self.exchange.turns
-        return CallRecord(
-            id=message.call_id,
-            class_name=message.text(isup.Parameter.CLASS),
-            tenant=message.text(isup.Parameter.TENANT) if self._figures.tenants else None,
-            number=number,
-            preferred_pool=figures.get("dest", -1),
-            was_cut=figures.get("again") == 1,
-            # The wait counts from when the caller sent it: earlier than now by as much as we looked late.
-            expires_ms=turns.now_ms - turns.lateness_ms + wait_ms,
-            description=description,
-            origin=stream,
-        )
-
     def _make_room(self) -> None:
         """Guards against callers taking every descriptor: those without an open set-up go, first whoever has
         not asked anything yet, then the longest unused; where all are busy, the newest goes.
@@ -385,15 +235,3 @@
             elif unused(stream) and now_ms - stream.used_ms > idle_ms:
                 stream.finish()
         self.exchange.turns.after(IDLE_LOOK_MS, self._look_for_idle)
-
-
-def _figures(message: isup.Message) -> dict[str, int]:
-    """The figures of a set-up that are read here; each is a whole number."""
-    figures: dict[str, int] = {}
-    for part in message.text(isup.Parameter.FIGURES).rstrip(";").split(";"):
-        name, colon, value = part.partition(":")
-        if not colon or (name in FIGURES and not FIGURE.fullmatch(value)):
-            raise BadMessageError(f"set-up {message.call_id}: the figure {part[:40]!r} cannot be read")
-        if name in FIGURES:
-            figures[name] = int(value)
-    return figures
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -8,22 +8,21 @@
 
 import logging
 import re
-from dataclasses import dataclass, field
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 from canvasplank import interface as api
 from canvasplank.codecs import sip
 from canvasplank.codecs.errors import BadMessageError
-from canvasplank.exchange import UNWANTED_ANSWER_CAUSE, CallRecord, Exchange, RefusalDetails
+from canvasplank.exchange import UNWANTED_ANSWER_CAUSE, CallRecord, Exchange
 from canvasplank.network.connecting import Backoff, Connecting
-from canvasplank.network.stream import BufferBudget, Stream
+from canvasplank.network.server_messages import figures, refusal
+from canvasplank.network.server_stream import QUIET_MS, Peer, ServerStream, WaitingSetUp
+from canvasplank.network.stream import BufferBudget
 from canvasplank.settings import Ceilings, Gauges, Instance, server_of
 
 LOG = logging.getLogger(__name__)
 BACKOFF_MS, BACKOFF_MOST_MS = 50.0, 800.0
-QUIET_MS = 2500.0  # a server that reports its circuits and has said nothing for so long may be cut off
 QUIET_MOST_MS = 20_000.0  # or for so long, where it tells them less often
-UNTIMED_REPORTS = 2  # the first on a connection, which say nothing of how often they come
 UNREACHABLE_MS = 7000.0  # no word and no connection for so long: a call that is over is released within 8 s
 FIRST_RESEND_MS = 500.0  # where the settings name none
 CUT_SHORT_SHARE = 0.25  # of it: a message that is not whole so long after it began never will be
@@ -32,45 +31,10 @@
 PENDING_RELEASES_MOST = 10_000  # releases kept for a server that cannot be reached
 UNCONFIRMED_MS = 1000.0  # a release so much older than the last word of the server has been read by it
 UNCONFIRMED_MOST = 1000  # releases sent on one connection and not confirmed
-OUTCOMES = {
-    480: api.Outcome.NOT_SENT,
-    503: api.Outcome.FULL,
-    504: api.Outcome.RESET,
-}
 OK, MULTIPLE_CHOICES = 200, 300
 NORMAL_CLEARING = 16
 BEGIN_OF_NEXT = b"SIP/2.0"  # no description holds it
-PROCESSOR_FULL, NUMBER_BUSY = "cpu_full", "number_busy"
 CALL_ID = re.compile(r"[0-9a-f]{16}")
-# From the start of a word only: guards against seconds spent on a long body that holds no figures.
-GAUGE = re.compile(r"\b([A-Za-z_]\w*)\s*[=:]\s*(-?\d+(?:\.\d+)?(?:[eE][+-]?\d{1,2})?)(?![\w.])")
-WAITED = re.compile(r"\d{1,9}(?:\.\d{1,9})?")
-
-
-@dataclass(slots=True)
-class Peer:
-    """One server: what the board says of it and the connections to it."""
-
-    server_id: str
-    address: str
-    state: api.ServerState
-    started_ms: float | None
-    backoff: Backoff
-    current: ServerStream | None = None  # where the next message goes; it may still be connecting
-    heard_ms: float = 0.0  # when it last said anything, or a connection came up
-    reports_circuits: bool = False  # it has reported its circuits
-    quiet_ms: float = QUIET_MS  # so long it may say nothing
-    streams: list[ServerStream] = field(default_factory=list)  # all that are up
-    pending_releases: dict[str, int] = field(default_factory=dict)  # causes, for the next connection
-    opens_ms: float = 0.0  # no sooner is its first connection made, unless a set-up wants it
-
-
-class WaitingSetUp(NamedTuple):
-    """A set-up for a connection that is just coming up."""
-
-    call: CallRecord
-    attempt: int
-    until_ms: float  # its attempt ends
 
 
 class Opening(Protocol):
@@ -89,77 +53,6 @@
         """Whether one that is in the list no more is so by our choice alone, with nothing of ours there."""
 
 
-class ServerStream(Stream):
-    """One connection to a server."""
-
-    def __init__(self, servers: Servers, peer: Peer) -> None:
-        label = f"server {peer.server_id} {peer.address}"
-        super().__init__(servers.exchange.turns, label, sip.Parser(), servers.budget)
-        self.servers = servers
-        self.peer = peer
-        self.address = peer.address
-        self.open: dict[str, int] = {}  # set-ups sent here and not ended, with the numbers of their attempts
-        self.waiting: dict[str, WaitingSetUp] = {}  # for when it is up
-        self.reported_ms = -1.0  # when the circuits were last reported here
-        self.reports = 0  # and how often
-        self.unconfirmed: dict[str, tuple[int, float]] = {}  # releases sent here: cause, time
-        self.established: set[str] = set()  # calls set up here that stand: the server releases them here
-        self.replaced_ms = -1.0  # when another took its place
-        self.connecting: Connecting | None = None
-        self.made_ms = self.turns.now_ms
-        self.asked_ms = -1.0  # when the first set-up was sent here of those after the last word
-
-    def connected(self) -> None:
-        """Send what has waited."""
-        self.made_ms = self.peer.heard_ms = self.turns.now_ms
-        self.servers.joined(self)
-
-    def received(self, data: memoryview) -> None:
-        """Read what it says."""
-        self.peer.heard_ms = self.turns.now_ms
-        for message in self.messages(data):
-            if not self.servers.disconnecting:
-                self.servers.take(self, message)
-
-    def reported(self) -> None:
-        """The circuits were reported; where that is often, silence is found soon.
-
-        The first comes with the connection, the second at any time after it: they say nothing of that.
-        """
-        self.peer.reports_circuits = True
-        self.reports += 1
-        if self.reports > UNTIMED_REPORTS and self.turns.now_ms - self.reported_ms < QUIET_MS:
-            self.peer.quiet_ms = QUIET_MS
-        self.reported_ms = self.turns.now_ms
-
-    def is_cut_short(self, limit_ms: float) -> bool:
-        """Whether the rest of a message is overdue: all that follows would be taken for it."""
-        late = self.turns.now_ms - self.begun_ms > limit_ms
-        return self.is_open and late and self.parser.in_message
-
-    def is_hung(self, limit_ms: float) -> bool:
-        """Whether it has brought not a word since a set-up went out on it."""
-        return self.asked_ms > self.heard_ms and self.turns.now_ms - self.asked_ms > limit_ms
-
-    def is_left_over(self, limit_ms: float) -> bool:
-        """Whether it has been replaced and nothing more is to come on it.
-
-        Guards against losing the release of a call that stands, on its way while we end the connection: its
-        successor is up already, and the server would not tell it again.
-        """
-        spoke_again = self.heard_ms > self.replaced_ms and self.turns.now_ms - self.used_ms < limit_ms
-        return not self.open and not (self.established and spoke_again)
-
-    @property
-    def broke_off(self) -> bool:
-        """Whether it ended amid what could not be read: an answer may have been lost with it."""
-        return self.spoilt or self.parser.in_message
-
-    def ended(self, error: Exception | None) -> None:
-        """Its set-ups broke on their way."""
-        self.servers.left(self)
-
-
 class Servers:
     """All connections to call servers."""
 
@@ -558,11 +451,11 @@
                 # Guards the callers, and what is remembered of calls, against an id that is no call's.
                 if CALL_ID.fullmatch(message.call_id):
                     cause = NORMAL_CLEARING if message.cause is None else message.cause
-                    report = self._gauges.report(_figures(message))
+                    report = self._gauges.report(figures(message))
                     self.exchange.released(stream.peer.server_id, message.call_id, cause, report)
             case "NOTIFY":
                 stream.reported()
-                if (circuits := self._gauges.circuits(_figures(message))) is not None:
+                if (circuits := self._gauges.circuits(figures(message))) is not None:
                     self.exchange.circuits_reported(stream.peer.server_id, *circuits)
             case "OPTIONS":
                 stream.write(sip.response(OK, "OK", message))
@@ -571,7 +464,7 @@
         if message.method == "BYE":
             stream.unconfirmed.pop(message.call_id, None)
         if message.method == "OPTIONS":
-            self._probed(message.call_id, message.status == OK, self._gauges.report(_figures(message)))
+            self._probed(message.call_id, message.status == OK, self._gauges.report(figures(message)))
         if message.method != "INVITE" or message.status < OK or not CALL_ID.fullmatch(message.call_id):
             return
         call_id, server_id = message.call_id, stream.peer.server_id
@@ -583,21 +476,5 @@
             stream.established.add(call_id)  # where it is taken back, the release takes it out again
             self.exchange.established(server_id, call_id, attempt, message.body)
         elif attempt is not None:
-            outcome = OUTCOMES.get(message.status, api.Outcome.ERROR)
-            note = message.headers.get("x-outcome", "")
-            busy = note == NUMBER_BUSY and outcome is api.Outcome.ERROR
-            report = self._gauges.report(_figures(message), _waited_ms(message))
-            self.exchange.ended(server_id, call_id, attempt, outcome,
-                                RefusalDetails(note == PROCESSOR_FULL, busy, report))
-
-
-def _figures(message: sip.Message) -> dict[str, float]:
-    """The figures told, in their header or in the body; what cannot be read as one is passed over."""
-    text = message.headers.get("x-gauges") or message.body.decode("utf-8", "replace")
-    return {name: float(value) for name, value in GAUGE.findall(text)}
-
-
-def _waited_ms(message: sip.Message) -> float | None:
-    """The wait at a full processor, which it tells where the settings say so."""
-    text = message.headers.get("x-waited", "")
-    return float(text) if WAITED.fullmatch(text) else None
+            outcome, details = refusal(message, self._gauges)
+            self.exchange.ended(server_id, call_id, attempt, outcome, details)
