--- a/canvasplank/exchange.py
+++ b/canvasplank/exchange.py
@@ -28,7 +28,7 @@
 
 
 class Final(enum.Enum):
-    """The final answers other than 'the call stands'."""
+    """The final answers other than 'established'."""
 
     REFUSED = "refused"
     FAILED = "failed"
@@ -42,13 +42,13 @@
         """Whether an answer can still be written there."""
 
     def answer(self, origin: Hashable, call_id: str, description: bytes) -> None:
-        """Tell that the call stands."""
+        """Tell that the call is established."""
 
     def reject(self, origin: Hashable, call_id: str, final: Final, retry_after_ms: float | None) -> None:
         """Tell that the call was refused or has failed."""
 
     def release(self, origin: Hashable | None, call_id: str, cause: int) -> None:
-        """Tell that a standing call is over, on any connection."""
+        """Tell that an established call is over, on any connection."""
 
     def forget(self, origin: Hashable, call_id: str) -> None:
         """Nothing of it is to come there: its caller gave it up, released it, or sent it again elsewhere."""
@@ -64,7 +64,7 @@
         """Give an unanswered set-up up."""
 
     def release(self, server_id: str | None, call_id: str, cause: int) -> None:
-        """End a call that stands; without a server, wherever it may stand."""
+        """End an established call; without a server, wherever it may be."""
 
     def probe(self, server_id: str) -> None:
         """Ask a server for its load."""
@@ -77,7 +77,7 @@
         """A call got its final answer, or its caller gave it up."""
 
     def over(self, call: CallRecord, outcome: api.Outcome, now_ms: float) -> None:
-        """A call that stood has ended."""
+        """An established call has ended."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,7 +104,7 @@
 
 @dataclass(slots=True)
 class CallRecord:
-    """One call: its caller, its attempt, and whether an answer is still owed."""
+    """One call: its caller, its attempt, and whether it is still unanswered."""
 
     id: str
     class_name: str
@@ -120,7 +120,7 @@
     tried: str | None = None  # the server of its latest attempt
     in_flight: Attempt | None = None
     unanswered: bool = True
-    established_at: str | None = None  # the server, once the call stands
+    established_at: str | None = None  # the server, once the call is established
     established_ms: float = 0.0
     deadline: Deadline | None = field(default=None, repr=False)
 
@@ -143,7 +143,7 @@
         self._decide = controller
         self._most_open = most_open
         self.limit(memory_bytes)
-        self._open: dict[str, CallRecord] = {}  # a final answer is owed, or an attempt is out
+        self._open: dict[str, CallRecord] = {}  # unanswered, or with an attempt in flight
         self._established: dict[str, CallRecord] = {}
         self._ended: OrderedDict[str, None] = OrderedDict()
         self._held_bytes = 0
@@ -157,7 +157,7 @@
 
     @property
     def established_calls(self) -> int:
-        """Calls that stand."""
+        """Calls that are established."""
         return len(self._established)
 
     def limit(self, memory_bytes: float) -> None:
@@ -174,7 +174,7 @@
         if known is not None:
             # A set-up resent on a new connection is the same call, with one answer.  Guards against handing a
             # call to whoever repeats its id alone: the first caller would lose its answer, the other get it.
-            if not known.unanswered or not known.is_again(call):  # one that stands is not owed an answer
+            if not known.unanswered or not known.is_again(call):  # an established one has had its answer
                 return False
             if known.origin != call.origin:
                 self.callers.forget(known.origin, call.id)
@@ -205,7 +205,7 @@
         self.callers.reject(call.origin, call.id, final, None)
 
     def released_by_caller(self, call_id: str, cause: int) -> None:
-        """A release from a caller: of a set-up that it gives up, or of a call that stands."""
+        """A release from a caller: of a set-up that it abandons, or of an established call."""
         call = self._open.get(call_id)
         if call is not None:
             self._abandon(call)
@@ -217,7 +217,7 @@
             self.callers.forget(call.origin, call_id)
             self._end_established(call, api.Outcome.CANCELLED)
         elif call_id not in self._ended:
-            # Guards against losing a release after a restart of ours: the call may stand at any server.
+            # Guards against losing a release after a restart of ours: the call may be at any server.
             self.counters.add("taken.releases_unknown")
             self._remember(call_id)
             self.servers.release(None, call_id, cause)
@@ -258,7 +258,7 @@
         call = self._open.get(call_id)
         if (call is not None and self._is_in_flight(call, server_id, attempt)
                 and not self.callers.is_reachable(call.origin)):
-            # Guards against a call that stands for nobody: its caller's connection ends in this very turn.
+            # Guards against a call established for nobody: its caller's connection ends in this very turn.
             self._abandon(call)
             call = None
         if call is None or not self._is_in_flight(call, server_id, attempt) or not call.unanswered:
@@ -289,7 +289,7 @@
             self._end_attempt(call, outcome, details=details)
 
     def released(self, server_id: str, call_id: str, cause: int, report: api.Report | None = None) -> None:
-        """A server ended a call that stood."""
+        """A server ended an established call."""
         call = self._established.get(call_id)
         if call is not None:
             if call.established_at != server_id:
@@ -323,7 +323,7 @@
         """A server's process has ended without releasing its calls: release those that it held.
 
         With ``tell_server`` it may not have ended, and is told as well.
-        Only what stood before ``started_before_ms`` is over; a fresh process may hold calls already.
+        Only those of before ``started_before_ms`` are over; a fresh process may hold calls already.
         """
         over = [c for c in self._established.values()
                 if c.established_at == server_id and c.established_ms < started_before_ms]
@@ -347,7 +347,7 @@
             self._tell(event)
 
     def fail_all(self) -> None:
-        """The program ends: whatever is still owed an answer gets one."""
+        """The program ends: whatever is still unanswered gets its answer."""
         for call in [c for c in self._open.values() if c.unanswered]:
             self._reject(call, Final.FAILED, None)
             if call.in_flight is not None:
@@ -449,7 +449,7 @@
                                     number_busy=details.number_busy, report=details.report))
 
     def _close(self, call: CallRecord) -> None:
-        """Nothing more is owed or out."""
+        """It is answered, and nothing is in flight."""
         if self._open.pop(call.id, None) is None:
             return
         self.turns.deadlines.discard(call.deadline)
--- a/canvasplank/interface.py
+++ b/canvasplank/interface.py
@@ -33,12 +33,12 @@
 class Outcome(enum.Enum):
     """How an attempt ended."""
 
-    ENDED = "ended"  # the call stood and was released in the ordinary way
+    ENDED = "ended"  # the call was established, and released in the ordinary way
     ERROR = "error"  # the number is busy, or a signalling fault
     FULL = "full"  # turned away: the processor (or the pool) was full
     TIMED_OUT = "timed out"
     NO_CONNECTION = "no connection"
-    RESET = "reset"  # the set-up or the standing call was cut
+    RESET = "reset"  # the set-up or the established call was cut
     CANCELLED = "cancelled"
     NOT_SENT = "not sent"
 
@@ -200,7 +200,7 @@
     tenant: str | None = None
     number: str | None = None  # the number called
     redialled: bool = False  # the caller says that this is a further try
-    was_cut: bool = False  # it stood before and was cut
+    was_cut: bool = False  # it was established before and cut
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,7 +216,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Established:
-    """The call stands."""
+    """The call is established."""
 
     call_id: str
     attempt: int
--- a/canvasplank/network/caller_stream.py
+++ b/canvasplank/network/caller_stream.py
@@ -45,7 +45,7 @@
         self.made_ms = self.turns.now_ms
         self.calls = False  # whether it has carried calls, and not only tests
         self.unconfirmed: dict[str, tuple[int, float]] = {}  # releases not confirmed: cause, time
-        self.established: set[str] = set()  # calls answered here that stand: their releases come here
+        self.established: set[str] = set()  # calls answered here: their releases come here
 
     def connected(self) -> None:
         """Take it into the pool."""
@@ -67,14 +67,14 @@
         return late and not self.open and (not self.asked or self.parser.in_message)
 
     def eof_received(self) -> bool:
-        """The caller sends no more; what it is owed can still be written."""
+        """The caller sends no more; answers can still be written."""
         self.half_closed = True
         self._callers.resend_unconfirmed(self)  # it may have ended altogether
         self._prove_read()
         return bool(self.open)
 
     def _prove_read(self) -> None:
-        """Find out whether a caller that sends no more still reads, as long as it is owed an answer.
+        """Find out whether a caller that sends no more still reads, as long as a set-up of it is unanswered.
 
         Its end of stream is the same for one that has closed its connection, and the socket is not watched
         any more.  Progress means nothing to a caller that reads; the machine of one that has left resets the
@@ -89,7 +89,7 @@
         self._callers.left(self)
 
     def release(self, call_id: str, cause: int) -> None:
-        """Write the release of a call that stood."""
+        """Write the release of an established call."""
         self.unconfirmed[call_id] = cause, self.turns.now_ms
         if len(self.unconfirmed) > UNCONFIRMED_MOST:
             del self.unconfirmed[next(iter(self.unconfirmed))]
@@ -116,7 +116,7 @@
 
     @property
     def carries_nothing(self) -> bool:
-        """No set-up is open here, and no call that was answered here stands."""
+        """No set-up is open here, and no call that was answered here is established."""
         return not self.open and not self.established
 
     def leave_if_quiesced(self) -> None:
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -110,7 +110,7 @@
         origin.answered(call_id, isup.release(call_id, CAUSES[final], retry_after_ms))
 
     def release(self, origin: Hashable | None, call_id: str, cause: int) -> None:
-        """See ``CallerSide``; no connection owns a standing call: any will do, or the next one to come."""
+        """See ``CallerSide``; no connection owns an established call: any will do, or the next."""
         if origin is not None:
             origin.established.discard(call_id)
         usable = origin is not None and origin.is_open and not origin.half_closed
--- a/canvasplank/network/server_stream.py
+++ b/canvasplank/network/server_stream.py
@@ -72,7 +72,7 @@
         self.reported_ms = -1.0  # when the circuits were last reported here
         self.reports = 0  # and how often
         self.unconfirmed: dict[str, tuple[int, float]] = {}  # releases sent here: cause, time
-        self.established: set[str] = set()  # calls set up here that stand: the server releases them here
+        self.established: set[str] = set()  # calls set up here: the server releases them here
         self.replaced_ms = -1.0  # when another took its place
         self.connecting: Connecting | None = None
         self.made_ms = self.turns.now_ms
@@ -113,7 +113,7 @@
     def is_left_over(self, limit_ms: float) -> bool:
         """Whether it has been replaced and nothing more is to come on it.
 
-        Guards against losing the release of a call that stands, on its way while we end the connection: its
+        Guards against losing the release of an established call, on its way while we end the connection: its
         successor is up already, and the server would not tell it again.
         """
         spoke_again = self.heard_ms > self.replaced_ms and self.turns.now_ms - self.used_ms < limit_ms
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -266,7 +266,7 @@
             self._send_release(peer, call_id, cause)
 
     def _over(self, peer: Peer, call_id: str) -> None:
-        """A call stands there no more."""
+        """A call is established there no more."""
         for stream in peer.streams:
             stream.established.discard(call_id)
 
@@ -318,7 +318,7 @@
         peer.backoff.succeeded()
         peer.streams.append(stream)
         self.exchange.counters.add("sockets.servers")
-        # Releases first: guards against one that is owed for an earlier attempt ending the call's next.
+        # Releases first: guards against a pending one for an earlier attempt ending the call's next.
         pending_releases, peer.pending_releases = peer.pending_releases, {}
         for call_id, cause in pending_releases.items():
             self._bye(stream, call_id, cause)
@@ -354,7 +354,7 @@
         broken, stream.open = stream.open, {}
         for call_id, attempt in broken.items():
             if stream.broke_off:
-                # Guards against a call that stands there for nobody: its answer came, and could not be read.
+                # Guards against a call established there for nobody: its answer came, and could not be read.
                 self._send_release(peer, call_id, UNWANTED_ANSWER_CAUSE)
             self.exchange.ended(peer.server_id, call_id, attempt, api.Outcome.RESET)
         self._keep_up(peer)
@@ -401,7 +401,7 @@
         """Neither a word nor a connection for long: found on a day with a cut-off district.
 
         Calls over a cut link end some seconds into it, and the server can tell nobody before the cut is over.
-        A call that should still stand after all is ended there too, once a connection is up.
+        A call that is established after all is ended there too, once a connection is up.
         """
         self.exchange.process_over(peer.server_id, float("inf"), tell_server=True)
 
--- a/canvasplank/network/stream.py
+++ b/canvasplank/network/stream.py
@@ -154,7 +154,7 @@
     def finish(self) -> None:
         """Say no more, and read on until the peer has ended it too, or for as long as it may linger.
 
-        Guards against losing what crosses our end of it, as the release of a call that stood: a socket that
+        Guards against losing what crosses our end of it, as the release of an established call: a socket that
         is closed answers that with a reset.
         """
         if self.is_open:
@@ -187,7 +187,7 @@
             # Guards against a bad message ending the program: it ends its own connection, with one line.
             self.end_spoilt(str(fault))
         except Exception:
-            # Guards against a fault of ours passing for an ordinary end: what may stand there is released.
+            # Guards against a fault of ours passing for an ordinary end: what may be there is released.
             LOG.exception("%s: reading failed", self.label)
             self.end_spoilt("its message met a fault of ours")
 
@@ -202,7 +202,7 @@
     def read_out(self, left: socket.socket) -> None:
         """Read what had come before a connection was reset.
 
-        Guards against losing it, as the release of a call that stood, where a write of ours or the end of
+        Guards against losing it, as the release of an established call, where a write of ours or the end of
         connecting met the reset first: asyncio then reads no more.
         """
         with contextlib.suppress(OSError):
--- a/canvasplank/store/records.py
+++ b/canvasplank/store/records.py
@@ -6,7 +6,7 @@
 
 from canvasplank import interface as api
 
-ANSWERED, OVER = 1, 2  # the row's version: at the final answer, and when a call that stood has ended
+ANSWERED, OVER = 1, 2  # the row's version: at the final answer, and when an established call has ended
 SERVED, GIVEN_UP = "served", "given_up"  # beside the names of ``exchange.Final``
 ENDINGS = {api.Outcome.ENDED: "ended", api.Outcome.CANCELLED: "released", api.Outcome.RESET: "cut"}
 
@@ -25,7 +25,7 @@
     taken_ms: int
     class_name: str
     final: str  # served, refused, failed, invalid or given_up
-    server: str | None  # where it stands, or where it was tried last
+    server: str | None  # where it is established, or was tried last
     attempts: int
     answered_ms: int
     ended_ms: int | None = None
