--- a/canvasplank/store/writer.py
+++ b/canvasplank/store/writer.py
@@ -48,7 +48,7 @@
     def over(self, call: CallRecord, outcome: api.Outcome, now_ms: float) -> None:
         """See ``Recorder``."""
         self._put(Outcome(call.id, self._instance, int(call.taken_ms), call.class_name, SERVED,
-                          call.stands_at, call.attempts, int(call.stands_since_ms), int(now_ms),
+                          call.established_at, call.attempts, int(call.established_ms), int(now_ms),
                           ENDINGS.get(outcome), OVER, call.tenant, call.number))
 
     def _put(self, record: Outcome) -> None:
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -10,7 +10,7 @@
 
 from canvasplank.codecs import isup, sip, sse
 from canvasplank.codecs.errors import MESSAGE_MOST, BadMessageError
-from canvasplank.network import servers
+from canvasplank.network import server_messages
 
 ID = "9e847923b2a4a452"
 ISUP = isup.answer(ID, b"v=0") + isup.release(ID, 42) + isup.release_heard(ID)
@@ -97,7 +97,7 @@
 
 def test_figures_are_looked_for_from_the_start_of_a_word_only():
     """From anywhere in it, a body of one long word took seconds."""
-    assert servers.GAUGE.findall("free=5 x0 : -1.5 7size=9") == [("free", "5"), ("x0", "-1.5")]
+    assert server_messages.GAUGE.findall("free=5 x0 : -1.5 7size=9") == [("free", "5"), ("x0", "-1.5")]
 
 
 BAD_TEXTS = [(None, "is missing"), (b"\xff", "is not text"), (b"a b", "holds")]
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -18,6 +18,9 @@
     def reject(self, origin: object, call_id: str, final: Final, retry_after_ms: float | None) -> None:
         self.told.append((call_id, final))
 
+    def forget(self, origin: object, call_id: str) -> None:
+        """No connection stands behind these."""
+
 
 def test_descriptions_take_no_more_than_their_part_of_the_memory():
     """With 32 MB, the 24 MiB that were allowed whatever the configuration would have ended the program."""
@@ -29,6 +32,6 @@
     assert exchange.open_calls == 4 * KIB // 15
     assert len(callers.told) == 2000 - exchange.open_calls
     assert {final for _, final in callers.told} == {Final.REFUSED}
-    exchange.give_up(f"{0:016x}", 16)
+    exchange.released_by_caller(f"{0:016x}", 16)
     exchange.offer(CallRecord("f" * 16, "low", "1", 0, False, 1000.0, bytes(15 * KIB), None))
     assert exchange.open_calls == 4 * KIB // 15, "what a call held is free again at its end"
