The module is split: the restrictor, what is known of servers, and the decisions about calls

The boundary tests hold for each file, and the deploy file names them all. Not taken: the servers' part as an object beside the controller: every call between the two would be longer, and the figures both use would have to be handed over.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,8 +11,9 @@
 from conftest import HIGH, LOW, RULES, SETTINGS, Gateway, gone, ready, sent_to, settings
 
 from canvasplank import interface as api
-from canvasplank import policy
 from canvasplank.interface import Outcome
+from canvasplank.policy import restrictor
+from canvasplank.policy import servers as server_rules
 
 CLASSES = tuple(replace(c, hold_ms=8000.0) for c in (LOW, HIGH))
 
@@ -123,7 +124,7 @@
             g.servers(ready("a", 0))
             if told:
                 g.tell(lines("a", 400))
-            assert self.cut_rate(g) == policy.FLOOR_RATE
+            assert self.cut_rate(g) == server_rules.FLOOR_RATE
 
     @pytest.mark.parametrize("count", [40, 400, 4000])
     def test_floors_of_a_large_fleet_sum_to_less_than_the_server_carries(self, count):
@@ -137,7 +138,7 @@
     def test_without_told_lines_the_second_is_shared_by_count(self):
         g = Gateway(large())
         g.servers(ready("a", 0))
-        assert self.cut_rate(g) * 250 == pytest.approx(policy.FEW_GATEWAYS)
+        assert self.cut_rate(g) * 250 == pytest.approx(server_rules.FEW_GATEWAYS)
 
     def test_no_bucket_opens_wider_than_some_even_shares(self):
         """A bucketful of every gateway is seconds of work; it must leak no faster than it is wanted."""
@@ -344,11 +345,11 @@
 
     def test_remembered_lines_are_bounded(self):
         g = Gateway(large(instances=3))
-        for pool in range(policy.POOLS_MOST + 5):
+        for pool in range(server_rules.POOLS_MOST + 5):
             g.servers(ready("a", pool))
             g.tell(lines("a", 10))
             g.servers(gone("a", pool))
-        assert len(g.controller._last_reported) == policy.POOLS_MOST
+        assert len(g.controller._last_reported) == server_rules.POOLS_MOST
 
 
 def test_trials_do_not_cut_the_rate_of_a_silent_server():
@@ -395,4 +396,4 @@
         g, _ = self.lossy()
         g.call()
         g.until(g.now + 400)
-        assert g.controller._servers["a"].bucket.rate == policy.NEVER
+        assert g.controller._servers["a"].bucket.rate == restrictor.NEVER
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -4,6 +4,7 @@
 
 import ast
 import re
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -16,20 +17,33 @@
     return ast.parse((PACKAGE / name).read_text())
 
 
+POLICY = sorted((PACKAGE / "policy").glob("*.py"))
+
+
+def policy_trees() -> list[ast.Module]:
+    return [ast.parse(path.read_text()) for path in POLICY]
+
+
 def test_policy_is_small_enough_to_read():
-    lines = (PACKAGE / "policy.py").read_text().splitlines()
+    lines = [line for path in POLICY for line in path.read_text().splitlines()]
     assert sum(bool(line.strip()) for line in lines) <= MOST_LINES
     assert max(map(len, lines)) <= LONGEST_LINE
 
 
+def test_the_deploy_file_names_every_file_of_the_policy():
+    named = tomllib.loads((PACKAGE.parent / "deploy" / "balancer.toml").read_text())["policy"]
+    assert sorted(named) == [f"canvasplank/policy/{path.name}" for path in POLICY]
+
+
 def test_policy_names_its_interface_first():
-    assert "canvasplank/interface.py" in ast.get_docstring(tree("policy.py"))
+    assert "canvasplank/interface.py" in ast.get_docstring(tree("policy/__init__.py"))
 
 
 def test_only_the_gate_sends():
     builders = [
         function.name
-        for function in ast.walk(tree("policy.py"))
+        for module in policy_trees()
+        for function in ast.walk(module)
         if isinstance(function, ast.FunctionDef)
         for node in ast.walk(function)
         if isinstance(node, ast.Call) and ast.unparse(node.func) in ("SetUp", "api.SetUp")
@@ -37,15 +51,18 @@
     assert builders == ["_gate"]
 
 
-def test_policy_reads_no_clock_and_shares_nothing():
-    source = (PACKAGE / "policy.py").read_text()
+@pytest.mark.parametrize("path", POLICY, ids=lambda path: path.name)
+def test_policy_reads_no_clock_and_shares_nothing(path):
+    source, module = path.read_text(), ast.parse(path.read_text())
     imported = {
         f"canvasplank.{alias.name}" if node.module == PACKAGE_NAME else node.module
-        for node in ast.walk(tree("policy.py"))
+        for node in ast.walk(module)
         if isinstance(node, ast.ImportFrom)
         for alias in node.names
-    } | {a.name for node in ast.walk(tree("policy.py")) if isinstance(node, ast.Import) for a in node.names}
-    assert imported <= {"__future__", "random", "collections", "collections.abc", "canvasplank.interface"}
+    } | {a.name for node in ast.walk(module) if isinstance(node, ast.Import) for a in node.names}
+    own = {f"canvasplank.policy.{each.stem}" for each in POLICY}
+    allowed = {"__future__", "random", "collections", "collections.abc", "canvasplank.interface"}
+    assert imported - own <= allowed
     assert set(re.findall(r"\brandom\.(\w+)", source)) <= {"Random"} | set(
         re.findall(r"_random\.(\w+)", source)
     )
@@ -82,7 +99,8 @@
     "signals", "interface", "events", "codecs.errors", "codecs.isup", "codecs.sip", "codecs.sse", "counters",
     "deadlines", "shutdown", "closing", "background", "engine.errors", "engine.where", "engine.migrations",
     "engine.sqlite", "engine.postgresql", "fleet.rows", "fleet.division", "fleet.ledger", "fleet.holder",
-    "fleet.watch", "fleet.spending", "fleet.pace", "learning.view", "learning.merge", "policy", "settings",
+    "fleet.watch", "fleet.spending", "fleet.pace", "learning.view", "learning.merge",
+    "policy.restrictor", "policy.servers", "policy.controller", "policy", "settings",
     "part_settings", "learning.config", "learning.asking", "learning.exporting", "membership.kept",
     "membership.roster", "membership.keeper", "membership.config", "wirehost", "exchange", "store.records",
     "store.outbox",
@@ -99,7 +117,8 @@
 
 def imports_of(module: str) -> set[str]:
     found = set()
-    for node in ast.walk(tree(module.replace(".", "/") + ".py")):
+    path = module.replace(".", "/")
+    for node in ast.walk(tree(f"{path}.py" if (PACKAGE / f"{path}.py").exists() else f"{path}/__init__.py")):
         if isinstance(node, ast.ImportFrom) and (node.module or "").startswith(PACKAGE_NAME):
             rest = (node.module or "").removeprefix(PACKAGE_NAME).removeprefix(".")
             names = {".".join(filter(None, (rest, alias.name))) for alias in node.names}
@@ -109,7 +128,8 @@
 
 def test_imports_go_downward():
     modules = {str(p.relative_to(PACKAGE).with_suffix("")).replace("/", ".") for p in PACKAGE.rglob("*.py")}
-    assert {m for m in modules if not m.endswith("__init__")} == set(LAYERS)
+    handing_on = {"policy"}  # the one package whose name stands for something in it
+    assert {m for m in modules if not m.endswith("__init__")} | handing_on == set(LAYERS)
     for at, module in enumerate(LAYERS):
         assert imports_of(module) <= set(LAYERS[:at]), module
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -8,9 +8,11 @@
 from conftest import HIGH, LOW, RULES, SETTINGS, Gateway, draining, gone, ready, sent_to, settings
 
 from canvasplank import interface as api
-from canvasplank import policy
 from canvasplank.interface import Outcome
-from canvasplank.policy import Controller, LeakyBucket
+from canvasplank.policy import Controller, restrictor
+from canvasplank.policy import controller as call_rules
+from canvasplank.policy import servers as server_rules
+from canvasplank.policy.restrictor import LeakyBucket
 
 
 def answers(actions):
@@ -23,7 +25,7 @@
     def test_open_bucket_forgets_at_once(self):
         bucket = LeakyBucket(0, 0.0)
         bucket.add()
-        bucket.leak(1, policy.NEVER)
+        bucket.leak(1, restrictor.NEVER)
         assert bucket.fill == 0
 
     def test_leaks_at_its_rate_and_not_below_zero(self):
@@ -31,26 +33,27 @@
         bucket.add()
         assert bucket.fill == pytest.approx(2.0)
         bucket.rate = 4.0
-        bucket.leak(250, policy.NEVER)
+        bucket.leak(250, restrictor.NEVER)
         assert bucket.fill == pytest.approx(1.0)
         bucket.leak(450, 300)
         assert bucket.fill == pytest.approx(0.8), "of that time only the part up to 300 counts"
-        bucket.leak(10_000, policy.NEVER)
+        bucket.leak(10_000, restrictor.NEVER)
         assert bucket.fill == 0
 
     def test_passes_up_to_the_threshold_itself(self):
-        bucket = LeakyBucket(0, -policy.INITIAL_FILL)
-        assert bucket.admits(policy.SPLASH)
-        assert not bucket.admits(policy.SPLASH - 0.01)
+        bucket = LeakyBucket(0, -restrictor.INITIAL_FILL)
+        assert bucket.admits(restrictor.SPLASH)
+        assert not bucket.admits(restrictor.SPLASH - 0.01)
 
     def test_fill_is_capped(self):
         bucket = LeakyBucket(0, 0.0)
         for _ in range(100):
             bucket.add()
-        assert bucket.fill == policy.MAX_FILL
+        assert bucket.fill == restrictor.MAX_FILL
 
     def test_thresholds_rise_with_worth_and_stay_below_the_cap(self):
-        assert policy.SPLASH <= policy.LOWEST_THRESHOLD < policy.HIGHEST_THRESHOLD < policy.MAX_FILL
+        assert restrictor.SPLASH <= restrictor.LOWEST_THRESHOLD
+        assert restrictor.LOWEST_THRESHOLD < restrictor.HIGHEST_THRESHOLD < restrictor.MAX_FILL
 
 
 class TestRoute:
@@ -97,7 +100,7 @@
         assert self.full_after(30).controller._servers["a"].bucket.rate == pytest.approx(9, abs=1.01)
 
     def test_never_below_one_call_a_second(self):
-        assert self.full_after(0).controller._servers["a"].bucket.rate == policy.FLOOR_RATE
+        assert self.full_after(0).controller._servers["a"].bucket.rate == server_rules.FLOOR_RATE
 
     def test_one_unlucky_second_is_no_measure(self):
         """A second with one answer, after steady ones: the cut looks further back."""
@@ -133,7 +136,7 @@
         call_id, _ = gateway.call(first=0)
         gateway.until(400)
         gateway.answer(call_id, "a", waited_ms=390)
-        assert gateway.controller._servers["a"].bucket.rate < policy.NEVER
+        assert gateway.controller._servers["a"].bucket.rate < restrictor.NEVER
 
 
 class TestOverdueAnswers:
@@ -145,7 +148,7 @@
             gateway.call(first=0)
             gateway.until(gateway.now + 60)
         to_a = sum("a" in sent_to([a]) for _, a in gateway.done)
-        assert to_a <= policy.MAX_FILL + 5
+        assert to_a <= restrictor.MAX_FILL + 5
 
     @pytest.mark.parametrize(
         ("waits", "cut"), [((40, 390), False), ((40, 390, 40, 390), False), ((40, 390, 390), True)]
@@ -154,23 +157,23 @@
         """Found on sockets: cut at each chance wait, a busy gateway held calls from servers at rest."""
         for waited_ms in waits:
             gateway.steady("a", 0, 1, gap_ms=400, waited_ms=waited_ms)
-        assert (gateway.controller._servers["a"].bucket.rate < policy.NEVER) is cut
+        assert (gateway.controller._servers["a"].bucket.rate < restrictor.NEVER) is cut
 
     def test_a_lone_overdue_answer_is_no_pressure(self, gateway):
         gateway.steady("a", 0, 4)
         gateway.call(first=0)
         gateway.until(gateway.now + 450)
-        assert gateway.controller._servers["a"].bucket.rate == policy.NEVER
+        assert gateway.controller._servers["a"].bucket.rate == restrictor.NEVER
 
     @pytest.mark.parametrize(("full", "rate"), [(False, 4.5), (True, 3.0)])
     def test_a_cut_is_eased_by_quick_answers_unless_a_full_bears_it_out(self, gateway, full, rate):
         view = gateway.controller._servers["a"]
         gateway.steady("a", 0, 1)
-        view.bucket.rate, view.spared, view.quiet_ms = 3.0, policy.NEVER, policy.NEVER
+        view.bucket.rate, view.spared, view.quiet_ms = 3.0, restrictor.NEVER, restrictor.NEVER
         if full:
             gateway.full(gateway.call(first=0)[0], "a")
-            view.bucket.rate, view.quiet_ms = 3.0, policy.NEVER
-        gateway.steady("a", 0, policy.ENOUGH_ANSWERS + 1, gap_ms=400)
+            view.bucket.rate, view.quiet_ms = 3.0, restrictor.NEVER
+        gateway.steady("a", 0, server_rules.ENOUGH_ANSWERS + 1, gap_ms=400)
         assert view.bucket.rate == rate
 
     def test_what_is_lost_for_good_does_not_halt_the_bucket(self, gateway):
@@ -191,7 +194,7 @@
         g = Gateway()
         g.servers(ready("a", 0))
         bucket = g.controller._servers["a"].bucket
-        bucket.rate, bucket.fill = policy.FLOOR_RATE, policy.HIGHEST_THRESHOLD - policy.SPLASH
+        bucket.rate, bucket.fill = server_rules.FLOOR_RATE, restrictor.HIGHEST_THRESHOLD - restrictor.SPLASH
         assert not sent_to(g.call("low")[1])
         assert sent_to(g.call("high")[1]) == ["a"]
 
@@ -235,8 +238,8 @@
 
     def test_a_failure_without_work_takes_no_room_in_the_bucket(self, gateway):
         bucket = gateway.controller._servers["a"].bucket
-        for outcome, left in ((Outcome.ERROR, 0.0), (Outcome.RESET, policy.SPLASH)):
-            bucket.rate, bucket.fill = policy.FLOOR_RATE, 0.0
+        for outcome, left in ((Outcome.ERROR, 0.0), (Outcome.RESET, restrictor.SPLASH)):
+            bucket.rate, bucket.fill = server_rules.FLOOR_RATE, 0.0
             call_id, _ = gateway.call(first=0)
             gateway.end(call_id, "a", outcome)
             assert bucket.fill == pytest.approx(left, abs=0.01)
@@ -245,7 +248,7 @@
         """Without it every call knocked at a server without lines, most of them in vain."""
         call_id, _ = gateway.call(first=0)
         gateway.end(call_id, "a", Outcome.FULL, processor_full=False)
-        assert gateway.controller._servers["a"].bucket.rate == policy.FLOOR_RATE
+        assert gateway.controller._servers["a"].bucket.rate == server_rules.FLOOR_RATE
 
     def test_out_of_attempts_is_refused_at_once(self):
         g = Gateway(settings(max_attempts=2))
@@ -292,7 +295,7 @@
         assert g.controller._calls[call_id].target_ms == 2000 + LOW.target_ms
 
     def test_memory_is_bounded(self, monkeypatch):
-        monkeypatch.setattr(policy, "REDIALS_MOST", 50)
+        monkeypatch.setattr(call_rules, "REDIALS_MOST", 50)
         g = Gateway()
         for number in range(300):
             g.call(number=str(number), expires_ms=g.now)
@@ -467,7 +470,7 @@
         assert not controller._calls and not controller._established and not controller._servers
 
     def test_held_calls_are_bounded_and_the_least_worth_goes(self, monkeypatch):
-        monkeypatch.setattr(policy, "QUEUED_MOST", 3)
+        monkeypatch.setattr(call_rules, "QUEUED_MOST", 3)
         g = Gateway()
         kept = [g.call("high")[0] for _ in range(2)]
         refused = []
@@ -537,7 +540,8 @@
 class TestNewlyMet:
     """Found on sockets: the first late answer of a day set rates to the floor for most of it."""
 
-    @pytest.mark.parametrize(("sign", "rate"), [("late", 10), ("no line", 10), ("full", policy.FLOOR_RATE)])
+    @pytest.mark.parametrize(("sign", "rate"), [
+        ("late", 10), ("no line", 10), ("full", server_rules.FLOOR_RATE)])
     def test_only_a_full_processor_cuts_it_below_an_even_share(self, sign, rate):
         classes = tuple(replace(c, hold_ms=2000.0) for c in SETTINGS.classes)
         g = Gateway(settings(classes=classes))
@@ -559,7 +563,7 @@
         call_id, _ = g.call(first=0)
         g.until(g.now + 70)
         g.answer(call_id, "a", waited_ms=70)
-        assert g.controller._servers["a"].bucket.rate == policy.NEVER
+        assert g.controller._servers["a"].bucket.rate == restrictor.NEVER
 
 
 def report(rate_per_s=None, wait_ms=0.0):
@@ -585,19 +589,19 @@
     def test_one_call_at_a_time_tries_again_after_gaps_that_double(self, gateway):
         call_id, _ = gateway.call(number="thin")
         busy(gateway, call_id)
-        gap_ms = policy.BUSY_MS
+        gap_ms = call_rules.BUSY_MS
         for _ in range(6):
             assert answers(gateway.call(number="thin")[1])
             gateway.until(gateway.now + gap_ms)
             tries = [gateway.call(number="thin") for _ in range(5)]
             assert sum(bool(sent_to(actions)) for _, actions in tries) == 1
             busy(gateway, tries[0][0])
-            gap_ms = min(2 * gap_ms, policy.BUSY_MOST_MS)
+            gap_ms = min(2 * gap_ms, call_rules.BUSY_MOST_MS)
 
     def test_a_call_that_stands_ends_it(self, gateway):
         call_id, _ = gateway.call(number="thin")
         busy(gateway, call_id)
-        gateway.until(gateway.now + policy.BUSY_MS)
+        gateway.until(gateway.now + call_rules.BUSY_MS)
         call_id, _ = gateway.call(number="thin")
         gateway.answer(call_id, "a")
         assert sent_to(gateway.call(number="thin")[1])
@@ -612,10 +616,10 @@
         assert answers(busy(gateway, gateway.call(number=None)[0])), "an end all the same"
 
     def test_they_are_forgotten_past_a_number_of_them(self, gateway):
-        for number in range(policy.BUSY_MOST + 50):
+        for number in range(call_rules.BUSY_MOST + 50):
             call_id, actions = gateway.call(number=str(number))
             busy(gateway, call_id, *sent_to(actions))
-        assert len(gateway.controller._busy) == policy.BUSY_MOST
+        assert len(gateway.controller._busy) == call_rules.BUSY_MOST
 
 
 class TestReports:
@@ -647,7 +651,7 @@
 
     @pytest.mark.parametrize(
         ("told", "most_share"),
-        [(None, policy.COLD_BY_POOL * RULES.cold_share), (30.0, policy.COLD_BY_REPORT)],
+        [(None, server_rules.COLD_BY_POOL * RULES.cold_share), (30.0, server_rules.COLD_BY_REPORT)],
         ids=["by its predecessor's word", "by its own"],
     )
     def test_a_cold_successors_budget_over_all_gateways_keeps_the_rule(self, gateway, told, most_share):
@@ -671,8 +675,8 @@
         g = Gateway(settings(rules=replace(RULES, overload_multiple=2.0)))
         g.servers(ready("a", 0, started_ms=0.0))
         view = g.controller._servers["a"]
-        view.answered.extend(g.now + policy.LOOK_BACK_MS * i / 40 for i in range(40))
-        g.now = policy.LOOK_BACK_MS - 100
+        view.answered.extend(g.now + server_rules.LOOK_BACK_MS * i / 40 for i in range(40))
+        g.now = server_rules.LOOK_BACK_MS - 100
         g.controller.handle(g.now, api.CallAbandoned("nobody"))
         assert g.controller._cold_rate(view) > view.lately(g.now) > 0
 
