--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import pyarrow.parquet
 import pytest
 from click.testing import CliRunner
@@ -13,6 +15,7 @@
 from experiments.measures import Budget, Call, Cold, Figure, Observed
 from experiments.plan import load_experiment
 
+PLAYS_MOST, LATE_MOST_MS = 5, 1500.0  # usually it is late by 0.2 to 0.7 s as two dozen processes start
 SMALL = """
 name = "small"
 sizes = [3]
@@ -171,6 +174,20 @@
         "small-3-processes.svg", "small-30-simulated.svg"]
 
 
+def figures_in_time(tmp_path: Path, text: str) -> dict[str, float]:
+    """Of the first play in which the rig kept up: what was sent while its loop stood still comes at once.
+
+    Guards the verdict against the machine: with stalls of 3.2 to 3.7 s a load of 0.36 was seen as 0.8 to 1.1.
+    """
+    for number in range(PLAYS_MOST):
+        folder = tmp_path / str(number)
+        folder.mkdir()
+        found = {row["what"]: row["value"] for row in played_table(folder, text)}
+        if found["the rig's own loop was late, most"] < LATE_MOST_MS:
+            return found
+    pytest.fail(f"the machine stood still in each of {PLAYS_MOST} plays: nothing can be said")
+
+
 def test_cold_servers_are_spared_by_twenty_four_processes_that_start_at_once(tmp_path):
     """The board refuses, then tells them, with callers waiting and every server just started."""
     rush = """
@@ -194,8 +211,7 @@
 begin_per_s = 10.0
 servers_per_proxy = 2
 """
-    table = played_table(tmp_path, rush)
-    found = {row["what"]: row["value"] for row in table}
+    found = figures_in_time(tmp_path, rush)
     assert 0.0 < found["load of a cold server, over what it bears, worst"] < 1.0
     assert found["connections at a server at the end, most"] < 24, "a subset"
     assert found["polls, most in 0.1 s"] <= 12
