--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -37,7 +37,6 @@
         self.budget = budget
         self._figures = figures
         self.streams: dict[CallerStream, None] = {}  # in the order of their coming
-        self.accepting = True
         self.quiesced = False  # the operators send callers away: connections go as soon as nothing is open
         self.is_ready: Callable[[], bool] = lambda: True  # whether new callers are to come here at all
         self._pending_releases: dict[str, int] = {}  # releases that wait for a connection, with their causes
--- a/canvasplank/program.py
+++ b/canvasplank/program.py
@@ -67,7 +67,7 @@
         self.servers = Servers(self.exchange, ceilings, settings.resend_ms, self._budget, gauges)
         self.exchange.servers = self.servers
         self.discovery = Discovery(self.turns, configuration.discovery, configuration.known.rev, self._notice,
-                            self._budget, random.Random(int(configuration.seed, 16)))
+                                   self._budget, random.Random(int(configuration.seed, 16)))
         self._shutdown = Shutdown(max(c.deadline_ms for c in settings.classes))
         self._done = asyncio.Event()
         self._listening = False
