--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -84,6 +84,11 @@
         assert len(await loop.run_in_executor(None, peer.recv, 64)) == 15
         return peer
 
+    async def taken(self) -> None:
+        """Until a set-up has been read; the caller bounds the wait."""
+        while not self.exchange.open_calls:
+            await asyncio.sleep(0.005)
+
     def idle(self) -> None:
         self.now_ms += 5000.0
         self.turns.now_ms = self.now_ms
@@ -143,8 +148,7 @@
         peer = await edge.caller()
         peer.sendall(set_up())
         async with asyncio.timeout(WAIT_S):
-            while not edge.exchange.open_calls:
-                await asyncio.sleep(0.005)
+            await edge.taken()
         next(iter(edge.callers.streams)).end_spoilt("it cannot be read")
         edge.exchange.established("a", ID, 0, b"v=0 answer")
         await asyncio.sleep(0.05)
@@ -181,8 +185,7 @@
         async with asyncio.timeout(WAIT_S):
             if first != "a test":
                 peer.sendall(set_up())
-                while not edge.exchange.open_calls:
-                    await asyncio.sleep(0.005)
+                await edge.taken()
             peer.sendall(set_up(second))  # in the machine, unread, all the while until the next await
             edge.turns.begin()
             edge.callers.quiesce()
@@ -207,8 +210,7 @@
         first, second = await edge.caller(), await edge.caller()
         first.sendall(set_up())
         async with asyncio.timeout(WAIT_S):
-            while not edge.exchange.open_calls:
-                await asyncio.sleep(0.005)
+            await edge.taken()
             if stands:
                 edge.exchange.established("a", ID, 0, b"v=0 answer")
                 edge.callers.quiesce()
