The release wait counts from when the cancellation has left, not from the iteration's clock

Cause: an attempt's end was reported with the iteration's one reading of the clock, and the cancellation was written later; an aborted connection was reported before asyncio closed its socket; a cancellation in the transport's buffer had not left at all.

Change: AttemptEnded carries the time by which its release had left, read after the write; the module counts from that. A cancelled attempt stays in flight until the kernel has the bytes or the connection has ended; the caller's final answer does not wait. Aborting a connection shuts its socket down at once.

--- a/canvasplank/exchange/attempts.py
+++ b/canvasplank/exchange/attempts.py
@@ -59,14 +59,28 @@
         cancel: bool = False,
         details: RefusalDetails = NO_DETAILS,
     ) -> None:
-        """End the attempt in flight, if any, and report it; ``cancel``: cancel it at its server too."""
-        attempt, call.in_flight = call.in_flight, None
-        if attempt is None:
+        """End the attempt in flight, if any, and report it; ``cancel``: cancel it at its server too.
+
+        One that is cancelled stays in flight until the cancellation has left this process: the time that a
+        call must stay away after it counts from then.
+        """
+        attempt = call.in_flight
+        if attempt is None or attempt.cancelled:
             return
         self._scheduler.timers.cancel(attempt.timer)
-        self._outcomes.attempt_ended(outcome)
         if cancel:
-            self.servers.cancel(attempt.server_id, call.id)
+            attempt.cancelled = True
+            self.servers.cancel(
+                attempt.server_id, call.id, lambda: self._on_ended(call, attempt, outcome, details)
+            )
+        else:
+            self._on_ended(call, attempt, outcome, details)
+
+    def _on_ended(
+        self, call: CallRecord, attempt: Attempt, outcome: api.Outcome, details: RefusalDetails
+    ) -> None:
+        call.in_flight = None
+        self._outcomes.attempt_ended(outcome)
         if not call.unanswered:
             self._table.close(call)
         self._dispatcher.dispatch(
@@ -79,6 +93,7 @@
                 processor_full=details.processor_full,
                 number_busy=details.number_busy,
                 report=details.report,
+                released_ms=self._scheduler.read_clock(),
             )
         )
 
--- a/canvasplank/exchange/call_records.py
+++ b/canvasplank/exchange/call_records.py
@@ -38,6 +38,7 @@
     server_id: str
     sent_ms: float
     timer: Timer | None = None  # its time-out
+    cancelled: bool = False  # it ends once its cancellation has left this process
 
 
 @dataclass(slots=True)
--- a/canvasplank/exchange/ports.py
+++ b/canvasplank/exchange/ports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from typing import Protocol
 
 from canvasplank import interface as api
@@ -36,8 +36,11 @@
     def set_up(self, server_id: str, call: CallRecord, attempt: int, wait_ms: float) -> None:
         """Send an attempt, which is given up after ``wait_ms``."""
 
-    def cancel(self, server_id: str, call_id: str) -> None:
-        """Cancel an unanswered attempt."""
+    def cancel(self, server_id: str, call_id: str, on_sent: Callable[[], None]) -> None:
+        """Cancel an unanswered attempt.
+
+        ``on_sent`` is called once, when the cancellation has left this process, or was not needed.
+        """
 
     def release(self, server_id: str | None, call_id: str, cause: int) -> None:
         """Release an established call; without a server, at every server, since any may have it."""
--- a/canvasplank/interface.py
+++ b/canvasplank/interface.py
@@ -236,6 +236,7 @@
     processor_full: bool = False  # with FULL: it was the processor that was full
     number_busy: bool = False  # with ERROR: every line of the number called is busy
     report: Report | None = None
+    released_ms: float = 0.0  # by when its release had left, where that is later than this event's time
 
 
 @dataclass(frozen=True, slots=True)
--- a/canvasplank/network/peer_table.py
+++ b/canvasplank/network/peer_table.py
@@ -154,8 +154,8 @@
             return
         self._peers.pop(peer.server_id, None)
         self._connections.fail_connecting(peer, "gone")
-        self._exchange.process_ended(peer.server_id, float("inf"))
         self._connections.abort(list(peer.streams))
+        self._exchange.process_ended(peer.server_id, float("inf"))
 
     def _check_gone(self, peer: Peer) -> None:
         if self._peers.get(peer.server_id) is peer and peer.state is api.ServerState.GONE:
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 
 from canvasplank import interface as api
 from canvasplank.codecs import sip
@@ -95,17 +96,19 @@
         else:
             stream.waiting[call.id] = waiting
 
-    def cancel(self, server_id: str, call_id: str) -> None:
+    def cancel(self, server_id: str, call_id: str, on_sent: Callable[[], None]) -> None:
         """See ``ServerSide``: on the connection of the set-up, or not at all where it was never sent."""
         peer = self._peers.get(server_id)
-        if peer is None:
-            return
-        if peer.current is not None and peer.current.waiting.pop(call_id, None) is not None:
-            return
-        for stream in peer.streams:
+        streams = [] if peer is None else peer.streams
+        if peer is not None and peer.current is not None:
+            peer.current.waiting.pop(call_id, None)
+        for stream in streams:
             attempt = stream.open_set_ups.pop(call_id, None)
             if attempt is not None:
                 stream.write(sip.request("CANCEL", "call", call_id, attempt + 1))
+                stream.call_when_sent(on_sent)
+                return
+        on_sent()
 
     def release(self, server_id: str | None, call_id: str, cause: int) -> None:
         """See ``ServerSide``: on the connection that is up, or on the next one."""
--- a/canvasplank/network/stream.py
+++ b/canvasplank/network/stream.py
@@ -10,7 +10,8 @@
 import logging
 import os
 import socket
-from collections.abc import Iterator
+from collections import deque
+from collections.abc import Callable, Iterator
 from typing import Generic, Protocol, TypeVar, cast
 
 from canvasplank.codecs.errors import MAX_MESSAGE_BYTES, BadMessageError
@@ -19,6 +20,7 @@
 LOG = logging.getLogger(__name__)
 MAX_UNSENT_BYTES = 1024 * 1024  # a peer that leaves more unread loses its connection
 PAUSE_READING_UNSENT_BYTES = 16 * 1024  # a peer that leaves more unread is not read from meanwhile
+UNSENT_CHECK_INTERVAL_MS = 10.0  # while an action waits for bytes that the kernel has not taken
 LINGER_MS = 2000.0  # how long a peer may take to read the rest once its connection is to end
 MAX_READS_AFTER_RESET = 256  # of what had arrived on a connection before it was reset
 BUFFERED_FRACTION = 1 / 8  # of the memory: the bound on what all connections together hold
@@ -100,6 +102,8 @@
         self.message_started_ms = scheduler.now_ms  # when the incomplete message started, if there is one
         self.unreadable = False  # whether it was ended for a bad message
         self.writing_closed = False  # whether it is only read any more
+        self._written_bytes = 0
+        self._when_sent: deque[tuple[int, Callable[[], None]]] = deque()  # by the bytes written before each
 
     @property
     def is_open(self) -> bool:
@@ -132,10 +136,27 @@
             return
         self.last_used_ms = self.scheduler.now_ms
         transport.write(data)
+        self._written_bytes += len(data)
         self.budget.update(self, self.buffered)
         if self.unsent > MAX_UNSENT_BYTES:
             LOG.warning("%s: closed, leaves %d bytes unread", self.label, self.unsent)
-            transport.abort()
+            self.abort()
+
+    def call_when_sent(self, action: Callable[[], None]) -> None:
+        """Call it once the kernel has taken all that is written by now, or the connection has ended."""
+        if not self.unsent:
+            action()
+            return
+        if not self._when_sent:
+            self.scheduler.call_later(UNSENT_CHECK_INTERVAL_MS, self._check_sent)
+        self._when_sent.append((self._written_bytes, action))
+
+    def _check_sent(self) -> None:
+        sent_bytes = self._written_bytes - self.unsent
+        while self._when_sent and self._when_sent[0][0] <= sent_bytes:
+            self._when_sent.popleft()[1]()
+        if self._when_sent:
+            self.scheduler.call_later(UNSENT_CHECK_INTERVAL_MS, self._check_sent)
 
     @property
     def buffered(self) -> int:
@@ -169,6 +190,16 @@
         """End it at once, whatever is unsent."""
         if self.transport is not None:
             self.transport.abort()
+            self._shut_down_socket()
+
+    def _shut_down_socket(self) -> None:
+        """Let the peer know now that it has ended: asyncio closes the socket in a later iteration.
+
+        So it does before anything is sent elsewhere because this connection has ended.
+        """
+        if self.transport is not None:
+            with contextlib.suppress(OSError):  # the peer has ended it already
+                self.transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
 
     def abort_unreadable(self, reason: str) -> None:
         """End it at once, since nothing that the peer sends can be of further use, with a line in the log."""
@@ -223,6 +254,7 @@
                 descriptor = os.dup(self.transport.get_extra_info("socket").fileno())
                 with socket.socket(fileno=descriptor) as remaining:
                     read_remaining(self, remaining)
+        self._shut_down_socket()
         self.on_disconnected(exc)
         self.budget.update(self, 0)
 
--- a/canvasplank/policy/controller.py
+++ b/canvasplank/policy/controller.py
@@ -91,8 +91,8 @@
             return
         call.server, call.failed_server_id, call.cancel_sent = None, event.server_id, False
         if event.outcome in (api.Outcome.TIMED_OUT, api.Outcome.RESET, api.Outcome.CANCELLED):  # rule 5
-            released_ms = self._context.now_ms + self._settings.rules.release_ms
-            call.not_before_ms = released_ms + self._settings.tick_ms
+            released_ms = max(self._context.now_ms, event.released_ms)
+            call.not_before_ms = released_ms + self._settings.rules.release_ms + self._settings.tick_ms
         if event.finished:
             self._queue.remove(call)
         elif event.number_busy:
--- a/canvasplank/runtime/scheduler.py
+++ b/canvasplank/runtime/scheduler.py
@@ -113,6 +113,10 @@
         self.lateness_ms = 0.0 if due_ms is None else max(0.0, self.now_ms - due_ms)
         asyncio.get_running_loop().call_soon(self._poll_again)
 
+    def read_clock(self) -> float:
+        """The time at this very point of the iteration, in ms: for what has just been done, not received."""
+        return max(self.now_ms, self._clock())
+
     def call_later(self, delay_ms: float, action: Callable[[], object]) -> Timer:
         """Run an action after a delay, counted from the start of this iteration."""
         return self.timers.add(self.now_ms + delay_ms, action)
