A hang is detected where a set-up is sent as its connection comes up

Callers: calls on a connection that swallows them waited 0.5 s each and the healthy server behind it was left out, because no second connection was made.

Cause: that a set-up is unanswered was told by comparing when it was sent with when anything was last read; one that waits for its connection is sent in the iteration in which that comes up, and both times are that iteration's one reading of the clock.

Change: the first unanswered set-up is noted and cleared by reading; whether a replaced connection is used is a flag; a connection's time of coming up, held against a server's start, is read when it comes up.

--- a/canvasplank/network/server_stream.py
+++ b/canvasplank/network/server_stream.py
@@ -105,8 +105,8 @@
         self.connected_ms = self.scheduler.now_ms
         self._reported_ms = -1.0  # when the circuits were last reported here
         self._report_count = 0
-        self._replaced_ms = -1.0  # when another took its place as the current one
-        self._unanswered_since_ms = -1.0  # when the first set-up was sent since anything was last read
+        self._used_since_replaced = False  # whether anything was read since another became the current one
+        self._unanswered_since_ms: float | None = None  # the first set-up sent since anything was last read
 
     def connect(self, timeout_ms: float, on_failed: Callable[[str], None]) -> None:
         """Start to connect to the peer's address; ``on_failed`` is given the reason."""
@@ -120,13 +120,16 @@
 
     def on_connected(self) -> None:
         """See ``Stream``."""
-        self.connected_ms = self.peer.last_received_ms = self.scheduler.now_ms
+        self.connected_ms = self.scheduler.read_clock()  # not before a process that was met later started
+        self.peer.last_received_ms = self.scheduler.now_ms
         self.connecting = None
         self._owner.on_connected(self)
 
     def on_received(self, data: memoryview) -> None:
         """See ``Stream``."""
         self.peer.last_received_ms = self.scheduler.now_ms
+        self._unanswered_since_ms = None
+        self._used_since_replaced = True
         for message in self.messages(data):
             if not self._owner.disconnecting:
                 self._owner.on_message(self, message)
@@ -141,7 +144,7 @@
         for each in self.peer.streams:
             # Or the release of an earlier attempt here, sent once more, would end the call.
             each.unconfirmed.pop(call.id, None)
-        if self._unanswered_since_ms <= self.last_received_ms:
+        if self._unanswered_since_ms is None:
             self._unanswered_since_ms = self.scheduler.now_ms
         self.open_set_ups[call.id] = attempt
         # What remains now, and not when the set-up was queued: the connection may have come up late.
@@ -184,7 +187,7 @@
     def on_replaced(self) -> None:
         """It is the peer's current connection no more, and stays open for what may yet come on it."""
         self.peer.current = None
-        self._replaced_ms = self.scheduler.now_ms
+        self._used_since_replaced = False
 
     def is_message_overdue(self, timeout_ms: float) -> bool:
         """Whether the rest of a message has not come in time: all that follows would be taken for it."""
@@ -194,7 +197,7 @@
     def is_hung(self, timeout_ms: float) -> bool:
         """Whether nothing was read for so long since a set-up was sent on it."""
         since_ms = self._unanswered_since_ms
-        return since_ms > self.last_received_ms and self.scheduler.now_ms - since_ms > timeout_ms
+        return since_ms is not None and self.scheduler.now_ms - since_ms > timeout_ms
 
     @property
     def is_silent(self) -> bool:
@@ -212,8 +215,7 @@
         The release of an established call may be on its way while we end the connection, and the server would
         not send it again on the successor that is up already.
         """
-        used_since = self.last_received_ms > self._replaced_ms
-        in_use = used_since and self.scheduler.now_ms - self.last_used_ms < idle_ms
+        in_use = self._used_since_replaced and self.scheduler.now_ms - self.last_used_ms < idle_ms
         return not self.open_set_ups and not (self.established and in_use)
 
     @property
--- a/tests/test_race_conditions_servers.py
+++ b/tests/test_race_conditions_servers.py
@@ -12,6 +12,7 @@
 import pytest
 from exchange_replay import Replay
 from race_conditions import ID, WAIT_S, run_coroutine, set_up
+from server_side import ServerSide
 
 from canvasplank import interface as api
 from canvasplank.codecs import sip
@@ -127,3 +128,22 @@
         return len(writers)
 
     assert asyncio.run(run()) <= 3, "two are made in vain until it is known"
+
+
+def test_a_hang_is_detected_where_a_set_up_is_sent_as_its_connection_comes_up(monkeypatch):
+    """Both had one reading of the clock, and the set-up passed for answered."""
+
+    async def run() -> int:
+        rig = ServerSide(monkeypatch, resend_ms=500.0)
+        try:
+            rig.list_servers()
+            rig.offer_call()
+            await rig.accept()
+            assert len(rig.sent_ms) == 1
+            for _ in range(35):  # 700 ms: the resend time, and one interval between two checks
+                await rig.step()
+            return rig.exchange.counters["sockets.servers_quiet"]
+        finally:
+            rig.close()
+
+    assert run_coroutine(run()) == 1
