A late refusal no longer ends the next attempt of its call at the same server

Callers: a call out at a server for the second time was sent a third time, or refused, while the second attempt was still being worked on: two attempts at once.

Cause: responses are matched by Call-ID and connection, and a repeated or late refusal carries those of the next attempt too.

Change: every request has a branch of its own in Via (RFC 3261 8.1.1.7); a refusal that repeats the branch of another INVITE of ours is acknowledged and nothing else.

Evidence: the record refused_twice shows the third INVITE at once without the comparison. Not taken: CSeq, which servers count on their own.

--- a/canvasplank/codecs/sip.py
+++ b/canvasplank/codecs/sip.py
@@ -20,6 +20,13 @@
 _STATUS = re.compile(r"[1-6][0-9]{2}")
 _QUOTED = re.compile(r'"[^"]*"')
 _CAUSE = re.compile(r"[0-9]{1,3}")
+_BRANCH = re.compile(r";\s*branch\s*=\s*([^;\s]+)", re.IGNORECASE)
+_BRANCH_COOKIE = "z9hG4bK"  # every branch begins with it (RFC 3261 8.1.1.7)
+_INVITE_METHODS = (
+    "INVITE",
+    "CANCEL",
+    "ACK",
+)  # they share the branch of their INVITE (RFC 3261 9.1, 17.1.1.3)
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +49,20 @@
         match = _CSEQ.match(self.headers.get("cseq", ""))
         return int(match[1]) if match else 0
 
+    @property
+    def branch(self) -> str:
+        """The branch in the topmost Via, which names the transaction (RFC 3261 8.1.1.7); empty: none."""
+        match = _BRANCH.search(self.headers.get("via", "").split(",")[0])
+        return match[1] if match else ""
+
+    def is_of_other_set_up(self, sequence: int) -> bool:
+        """Whether this response is to another of our INVITEs of its call than that of this CSeq number.
+
+        A response that repeats no branch of ours (RFC 3261 17.1.3) may be to any of them.
+        """
+        ours = self.branch.startswith(f"{_BRANCH_COOKIE}{self.call_id}")
+        return ours and self.branch != _branch("INVITE", self.call_id, sequence)
+
     @property
     def cause(self) -> int | None:
         """The Q.850 cause in ``Reason`` (RFC 3326), if any; one out of range counts as unspecified.
@@ -174,6 +195,12 @@
     raise BadMessageError(f"not a start line: {line[:80]!r}")
 
 
+def _branch(method: str, call_id: str, sequence: int) -> str:
+    """The branch of a request of ours."""
+    suffix = "" if method in _INVITE_METHODS else f"-{method}"
+    return f"{_BRANCH_COOKIE}{call_id}-{sequence}{suffix}"
+
+
 def request(
     method: str,
     user: str,
@@ -185,7 +212,7 @@
     """The bytes of a request; ``sequence`` is the number in CSeq."""
     lines = [
         f"{method} sip:{user}@net SIP/2.0",
-        "Via: SIP/2.0/TCP edge",
+        f"Via: SIP/2.0/TCP edge;branch={_branch(method, call_id, sequence)}",
         f"Call-ID: {call_id}",
         f"CSeq: {sequence} {method}",
         *(f"{name}: {value}" for name, value in (headers or {}).items()),
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -169,8 +169,12 @@
         call_id, server_id = message.call_id, stream.peer.server_id
         # Matched by Call-ID and connection, since a call has one attempt in flight at most, and not by the
         # number in CSeq: servers that count each set-up as their first would lose answers to second attempts.
-        attempt = stream.open_set_ups.pop(call_id, None)
+        attempt = stream.open_set_ups.get(call_id)
         stream.write(sip.request("ACK", "call", call_id, max(1, message.sequence)))
+        refused = message.status >= MULTIPLE_CHOICES
+        if refused and attempt is not None and message.is_of_other_set_up(attempt + 1):
+            return  # the refusal of an earlier attempt, sent again or late
+        stream.open_set_ups.pop(call_id, None)
         if message.status < MULTIPLE_CHOICES:
             stream.established.add(call_id)  # where the exchange takes it back, its release removes it again
             self.exchange.on_established(server_id, call_id, attempt, message.body)
