Established calls are bounded by the configured memory

Cause: an established call left the counts of open calls and of descriptions, and stayed in four tables until its end.

Change: open and established calls together take a quarter of memory_mb at most, at 2 KiB a call (1,881 bytes measured over 20,000 calls); past it a new call is refused at once.

--- a/canvasplank/exchange/call_table.py
+++ b/canvasplank/exchange/call_table.py
@@ -11,6 +11,9 @@
 MAX_ENDED_CALLS = 8192
 # Of the configured memory: the most that descriptions of unanswered calls may take.
 DESCRIPTIONS_FRACTION = 1 / 8
+# Of the configured memory: the most that the records of open and established calls may take.
+RECORDS_FRACTION = 1 / 4
+CALL_RECORD_BYTES = 2048  # of one call, in this table, the decision module's and the connections'
 
 
 class CallTable:
@@ -23,6 +26,7 @@
         self._timers = timers
         self._max_open = max_open
         self._max_description_bytes = 0.0
+        self._max_calls = 0
         self.set_memory_limit(memory_bytes)
         self.open: dict[str, CallRecord] = {}
         self.established: dict[str, CallRecord] = {}
@@ -30,8 +34,9 @@
         self._description_bytes = 0
 
     def set_memory_limit(self, memory_bytes: float) -> None:
-        """Bound what descriptions may take by the configured memory."""
+        """Bound what descriptions and the records of calls may take by the configured memory."""
         self._max_description_bytes = DESCRIPTIONS_FRACTION * memory_bytes
+        self._max_calls = int(RECORDS_FRACTION * memory_bytes / CALL_RECORD_BYTES)
 
     def find(self, call_id: str) -> CallRecord | None:
         """The call, if it is open or established."""
@@ -44,7 +49,9 @@
     def has_room_for(self, call: CallRecord) -> bool:
         """Whether one more open call is within the bounds on calls and on memory."""
         description_bytes = self._description_bytes + len(call.description)
-        return len(self.open) < self._max_open and description_bytes <= self._max_description_bytes
+        calls = len(self.open) + len(self.established)
+        has_room = len(self.open) < self._max_open and calls < self._max_calls
+        return has_room and description_bytes <= self._max_description_bytes
 
     def add(self, call: CallRecord) -> None:
         """Enter a new call as open."""
