The recorded exchanges hold the release wait without slack again

The check of "no sooner than" had been given 50 ms, because a 504 read late in an iteration was stamped 4 to 8 ms early, and 9 of 192 plays of it came too soon.

--- a/tests/exchange_replay.py
+++ b/tests/exchange_replay.py
@@ -12,8 +12,8 @@
     caller 1 gets BYTES      the next bytes, exactly these
     caller 1 hears BYTES     the next bytes but for progress, which is free and means nothing
     caller 1 silent MS       nothing comes for so long
-    caller 1 later MS BYTES  the next bytes, no sooner than so long, less SLACK_MS, after the last that
-                             anybody sent or closed
+    caller 1 later MS BYTES  the next bytes, no sooner than so long after the last that anybody sent or
+                             closed
     caller 1 closes / resets likewise for servers and the board
     server a accepts         takes its next connection
     server b was a           the connection that server a has is b's from now on, and stays open
@@ -43,10 +43,6 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-# What the protocol allows each time limit on sockets.  An iteration's one reading of the clock may be some ms
-# older than what its later polls bring: on a starved machine a 504 was read 4 to 8 ms after its iteration had
-# started.
-SLACK_MS = 50.0
 WAIT_S = 20.0  # for anything that is expected; a slow machine only takes longer
 PROGRESS = re.compile(rb"\x00\x09\x06.{8}", re.DOTALL)
 SETTINGS = {
@@ -161,7 +157,7 @@
     def later(self, text: str) -> None:
         after_ms, expected = text.split(" ", 1)
         self.gets(expected)
-        assert (time.monotonic() - Peer.acted_s) * 1000 >= float(after_ms) - SLACK_MS
+        assert (time.monotonic() - Peer.acted_s) * 1000 >= float(after_ms)
 
     def silent(self, text: str) -> None:
         self.stream.settimeout(float(text) / 1000)
