Late in a drain a caller that still sends set-ups is sent away, calls established or not

Callers: a quiesced process served callers on connections with an established call for as long as they went on calling there, so that a drain did not end. From 4 s on the platform counts a connection held with a set-up of the last 2 s as lost requests.

Cause: while quiesced a connection ended only once it carried neither an open set-up nor an established call.

Change: from 3 s after a quiesce, established calls do not keep a connection on which a set-up came within the last 2 s. Their releases go on any other connection, or the next.

--- a/canvasplank/network/caller_pool.py
+++ b/canvasplank/network/caller_pool.py
@@ -13,6 +13,9 @@
 MAX_SOCKETS_FRACTION = 0.6  # of the configured sockets; servers, discovery and files need the rest
 ACCEPT_FRACTION = 0.1  # of those: how many are accepted in one go
 IDLE_CHECK_INTERVAL_MS = 250.0
+# So long after a quiesce callers that still send set-ups are sent away, calls established or not: the front
+# expects that none is left after 4 s.
+DRAIN_OVERDUE_MS = 3000.0
 QUIESCED_IDLE_MS = 200.0  # while quiesced, a connection unused for so long is closed: new ones come for 0.2 s
 
 
@@ -23,6 +26,7 @@
         """``idle_ms``: a connection without an open set-up that is unused for so long is closed."""
         self.streams: dict[CallerStream, None] = {}  # the oldest first
         self.quiesced = False
+        self._quiesced_ms = 0.0
         self._scheduler = scheduler
         self._counters = counters
         self._idle_ms = idle_ms
@@ -54,10 +58,17 @@
 
     def quiesce(self) -> None:
         """Send callers away: each connection is closed once it carries nothing, from now on."""
+        if not self.quiesced:
+            self._quiesced_ms = self._scheduler.now_ms
         self.quiesced = True
         for stream in list(self.streams):
             stream.close_if_quiesced()
 
+    @property
+    def drain_overdue(self) -> bool:
+        """Whether it has been quiesced for ``DRAIN_OVERDUE_MS``."""
+        return self.quiesced and self._scheduler.now_ms - self._quiesced_ms >= DRAIN_OVERDUE_MS
+
     def resume(self) -> None:
         """Stop sending callers away."""
         self.quiesced = False
@@ -99,7 +110,7 @@
         for stream in [s for s in self.streams if s.is_open]:
             if stream.message_is_overdue:
                 stream.abort_unreadable(f"nothing whole for {MESSAGE_TIMEOUT_MS:.0f} ms")
-            elif self._is_idle(stream) and now_ms - stream.last_used_ms > idle_ms:
+            elif self._is_idle(stream) and (self.drain_overdue or now_ms - stream.last_used_ms > idle_ms):
                 stream.close_writing()
         self._scheduler.call_later(IDLE_CHECK_INTERVAL_MS, self.close_idle_connections)
 
--- a/canvasplank/network/caller_stream.py
+++ b/canvasplank/network/caller_stream.py
@@ -10,6 +10,7 @@
 from canvasplank.network.stream import BufferBudget, Stream
 
 MESSAGE_TIMEOUT_MS = 2000.0  # for the first complete message, and for the rest of each that has started
+RECENT_SET_UP_MS = 2000.0  # a caller that sent a set-up here so recently is likely to send more
 # A caller that has gone is detected after two of these: its call is not forwarded 0.3 s later.
 HALF_CLOSED_PROBE_INTERVAL_MS = 100.0
 
@@ -35,6 +36,10 @@
     def quiesced(self) -> bool:
         """Whether the operators are sending callers away."""
 
+    @property
+    def drain_overdue(self) -> bool:
+        """Whether callers that still send set-ups are to be sent away, calls established or not."""
+
     def on_connected(self, stream: CallerStream) -> None:
         """It is established."""
 
@@ -55,6 +60,7 @@
         self.half_closed = False  # whether the caller has ended its side
         self.has_received_message = False  # a complete one
         self.created_ms = self.scheduler.now_ms
+        self.last_set_up_ms = -RECENT_SET_UP_MS  # when one last came
         self.carries_calls = False  # whether it has carried calls, and not only tests
         self.unconfirmed = UnconfirmedReleases()
         self.established: set[str] = set()  # calls answered here: their releases are sent here
@@ -130,8 +136,15 @@
 
     @property
     def is_unused(self) -> bool:
-        """Whether no set-up is open here, and no call that was answered here is established."""
-        return not self.open_set_ups and not self.established
+        """Whether no set-up is open here, and no call that was answered here is established.
+
+        Late in a drain, established calls do not keep a connection on which new set-ups still come: their
+        releases can be sent on any other.
+        """
+        if self.open_set_ups:
+            return False
+        recently_used = self.scheduler.now_ms - self.last_set_up_ms < RECENT_SET_UP_MS
+        return not self.established or (recently_used and self._owner.drain_overdue)
 
     def close_if_quiesced(self) -> None:
         """While quiesced, end the connection once it is unused: at the end of the iteration.
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -52,6 +52,11 @@
         """Whether the operators are sending callers away."""
         return self._pool.quiesced
 
+    @property
+    def drain_overdue(self) -> bool:
+        """See ``CallerStreamOwner``."""
+        return self._pool.drain_overdue
+
     def listen(self, host: str, port: int) -> None:
         """Open the listener, on this address only; raises ``OSError``.
 
@@ -168,6 +173,7 @@
     def _on_set_up(self, stream: CallerStream, message: isup.Message) -> None:
         call = parse_set_up(stream, message, self._bounds, self.exchange.scheduler)
         new = call.id not in stream.open_set_ups
+        stream.last_set_up_ms = self.exchange.scheduler.now_ms
         if new and not is_within_bounds(call, message, self._bounds):
             # No server can use it: forwarding it would only cost servers, and other callers' set-ups.
             self.exchange.reject_invalid(call)
--- a/canvasplank/runtime/streams.py
+++ b/canvasplank/runtime/streams.py
@@ -6,7 +6,6 @@
 import contextlib
 from collections.abc import Awaitable, Callable
 
-
 ConnectionHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
--- a/tests/test_race_conditions_callers.py
+++ b/tests/test_race_conditions_callers.py
@@ -24,6 +24,7 @@
 
 from canvasplank import interface as api
 from canvasplank.codecs import isup
+from canvasplank.network.caller_pool import DRAIN_OVERDUE_MS
 
 
 @pytest.fixture
@@ -221,3 +222,43 @@
         return held
 
     assert run_coroutine(run()) <= 12 + 1
+
+
+@pytest.mark.parametrize("late", [False, True], ids=["early in the drain", "late in the drain"])
+def test_a_caller_that_still_sends_set_ups_is_sent_away_late_in_a_drain(late: bool):
+    """An established call kept its connection, on which the caller went on to send set-ups."""
+    second = "bb" * 8
+
+    def decide(event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.Call):
+            return [api.SetUp(ID, "a", 9000)] if event.id == ID else [api.Refuse(event.id, None)]
+        return []
+
+    async def run() -> tuple[bool, int]:
+        caller_side, loop = CallerSide(), asyncio.get_running_loop()
+        caller_side.decide = decide
+        caller_side.callers.listen("127.0.0.1", caller_side.port)
+        peer = await caller_side.caller()
+        peer.sendall(set_up())
+        async with asyncio.timeout(WAIT_S):
+            await caller_side.set_up_was_read()
+            caller_side.exchange.on_established("a", ID, 0, b"v=0 answer")
+            await loop.run_in_executor(None, peer.recv, 64)
+            caller_side.scheduler.begin_iteration()
+            caller_side.callers.quiesce()
+            await asyncio.sleep(0.01)  # the end of the iteration
+            caller_side.now_ms += DRAIN_OVERDUE_MS if late else DRAIN_OVERDUE_MS / 2
+            peer.sendall(set_up(second))
+            received = await loop.run_in_executor(None, peer.recv, 64)
+            assert ANSWERED.findall(received)
+            caller_side.callers._pool.close_idle_connections()
+            await asyncio.sleep(0.01)
+        ended = next(iter(caller_side.callers.streams), None) is None or any(
+            stream.writing_closed for stream in caller_side.callers.streams
+        )
+        established = caller_side.exchange.established_calls
+        peer.close()
+        caller_side.callers.stop_listening()
+        return ended, established
+
+    assert run_coroutine(run()) == (late, 1)
