A seeded soak: a deployment on loopback disturbed at random, its rules checked by what peers saw

Change: experiments/soak draws a scenario from a seed and plays it on processes of the program: a front that asks every 0.1 s, callers that use their connections until these end, call servers behind links that are observed at the proxies' side. verification/call_rules checks one final answer in time, attempts, the release wait, drained servers, releases, the door, drains, exit status, tracebacks, memory and descriptors over that trace. Links pass on half a close and read ahead; call servers send an unconfirmed release again on the next connection, as the protocol has it. Not taken: hypothesis for drawing, since a run takes 11 s and shrinks by its seed's list.

--- a/emulators/fleet.py
+++ b/emulators/fleet.py
@@ -129,7 +129,7 @@
 
     def _configuration(self, name: str, address: str, seed: int) -> dict[str, Any]:
         known = self.discovery.known() if self.in_configuration else {"rev": 0, "notices": []}
-        return _example() | {
+        return example_configuration() | {
             "name": name,
             "listen": address,
             "seed": f"{seed:016x}",
@@ -174,12 +174,13 @@
 def service_settings(instances: int, servers: int, hold_ms: float) -> dict[str, Any]:
     """The platform settings of the example for a fleet of this size, each server in a pool of its own."""
     pools = list(range(servers))
-    settings: dict[str, Any] = _example()["settings"]
+    settings: dict[str, Any] = example_configuration()["settings"]
     family = settings["family_info"] | {"skilled_pools": [pools, pools], "class_hold_ms": [hold_ms] * 2}
     return settings | {"instances": instances, "family_info": family}
 
 
-def _example() -> dict[str, Any]:
+def example_configuration() -> dict[str, Any]:
+    """The configuration of the example, for one proxy."""
     example: dict[str, Any] = json.loads((ROOT / "examples" / "config.json").read_text())
     return example
 
--- a/emulators/link.py
+++ b/emulators/link.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+from typing import Protocol
 
 from canvasplank.config.addresses import parse_address
 from emulators.tasks import Tasks
@@ -16,9 +17,21 @@
 READ_MAX_BYTES = 65_536
 
 
+class LinkObserver(Protocol):
+    """What is told of one connection, as its client sees it."""
+
+    def on_data(self, way: str, data: bytes) -> None:
+        """Bytes were read from the client (``there``), or are about to be written to it (``back``)."""
+
+    def on_closed(self) -> None:
+        """The connection has ended."""
+
+
 class Link:
     """Accepts clients and connects each to ``target`` (``host:port``)."""
 
+    max_reads_ahead = 1  # in each direction, while what was read cannot be passed on; 0: no bound
+
     def __init__(self, target: str) -> None:
         self.target = target
         self.delay_s = 0.0  # in each direction, for each read
@@ -58,8 +71,14 @@
         self.reset()
         await self._tasks.end()
 
+    def observe(self) -> LinkObserver | None:
+        """What is told of a new connection; None: nothing is."""
+        return None
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
+        observer = self.observe()
+        requests = self._start_reading("there", reader, observer)
         self._writers.add(writer)
         try:
             await self._passing["there"].wait()
@@ -69,20 +88,70 @@
             return
         finally:
             self._writers.discard(writer)
-        self._writers |= {writer, target_writer}
-        there = self._tasks.keep(self._pump("there", reader, target_writer))
-        back = self._tasks.keep(self._pump("back", target_reader, writer))
+        responses = self._start_reading("back", target_reader, observer)
+        ends = (writer, target_writer)
+        self._writers.update(ends)
+        there = self._tasks.keep(self._pass_on("there", requests, target_writer, observer))
+        back = self._tasks.keep(self._pass_on("back", responses, writer, observer))
+        for passing in (there, back):
+            passing.add_done_callback(lambda task: _abort_on_error(task, ends))
         with contextlib.suppress(asyncio.CancelledError):
-            await asyncio.wait({there, back}, return_when=asyncio.FIRST_COMPLETED)
-        for end in (writer, target_writer):
+            await asyncio.wait({there, back})
+        for end in ends:
             self._writers.discard(end)
             end.transport.abort()
-
-    async def _pump(self, way: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(OSError):
-            while data := await reader.read(READ_MAX_BYTES):
-                if self.delay_s:
-                    await asyncio.sleep(self.delay_s)
-                await self._passing[way].wait()
-                writer.write(data)
-                await writer.drain()
+        if observer is not None:
+            observer.on_closed()
+
+    def _start_reading(
+        self, way: str, reader: asyncio.StreamReader, observer: LinkObserver | None
+    ) -> asyncio.Queue[bytes | OSError]:
+        reads: asyncio.Queue[bytes | OSError] = asyncio.Queue(self.max_reads_ahead)
+        self._tasks.keep(self._read(way, reader, reads, observer))
+        return reads
+
+    async def _read(
+        self,
+        way: str,
+        reader: asyncio.StreamReader,
+        reads: asyncio.Queue[bytes | OSError],
+        observer: LinkObserver | None,
+    ) -> None:
+        """Queue what is read, an empty read at the end, or the error that ended the connection."""
+        data = b"-"
+        try:
+            while data:
+                data = await reader.read(READ_MAX_BYTES)
+                if observer is not None and way == "there" and data:
+                    observer.on_data(way, data)
+                await reads.put(data)
+        except OSError as error:
+            await reads.put(error)
+
+    async def _pass_on(
+        self,
+        way: str,
+        reads: asyncio.Queue[bytes | OSError],
+        writer: asyncio.StreamWriter,
+        observer: LinkObserver | None,
+    ) -> None:
+        """Write what was read, and then its end; raises the error that ended it."""
+        while data := await reads.get():
+            if isinstance(data, OSError):
+                raise data
+            if self.delay_s:
+                await asyncio.sleep(self.delay_s)
+            await self._passing[way].wait()
+            if observer is not None and way == "back":
+                observer.on_data(way, data)
+            writer.write(data)
+            await writer.drain()
+        await self._passing[way].wait()
+        writer.write_eof()
+
+
+def _abort_on_error(passing: asyncio.Task[None], ends: tuple[asyncio.StreamWriter, ...]) -> None:
+    """A connection that broke at one end is reset at the other."""
+    if passing.cancelled() or passing.exception() is not None:
+        for end in ends:
+            end.transport.abort()
--- a/emulators/server.py
+++ b/emulators/server.py
@@ -60,6 +60,8 @@
     _queue: deque[Job] = field(default_factory=deque)
     _job_queued: asyncio.Event = field(default_factory=asyncio.Event)
     _calls: dict[str, asyncio.Task[None]] = field(default_factory=dict)
+    _writers: list[asyncio.StreamWriter] = field(default_factory=list)  # open now, the newest last
+    _unconfirmed: dict[str, None] = field(default_factory=dict)  # calls whose release nobody has confirmed
     _tasks: Tasks = field(default_factory=Tasks)
 
     async def start(self) -> None:
@@ -121,19 +123,29 @@
     async def _hold(self, writer: asyncio.StreamWriter, call_id: str) -> None:
         await asyncio.sleep(self.hold_ms / MS_PER_S)
         self._calls.pop(call_id, None)
-        self._send(writer, sip.request("BYE", "caller", call_id, 2, {"Reason": "Q.850;cause=16"}))
+        self._unconfirmed[call_id] = None
+        if writer not in self._writers and self._writers:
+            writer = self._writers[-1]
+        self._release(writer, call_id)
         self._enqueue(Job(writer, None, RELEASE_COST))
 
+    def _release(self, writer: asyncio.StreamWriter, call_id: str) -> None:
+        self._send(writer, sip.request("BYE", "caller", call_id, 2, {"Reason": "Q.850;cause=16"}))
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         parser = sip.Parser()
         self.connections += 1
         self.accepted.append(asyncio.get_running_loop().time())
+        self._writers.append(writer)
         self._tasks.keep(self._report_load(writer))
+        for call_id in self._unconfirmed:  # what was sent on another connection may never have been read
+            self._release(writer, call_id)
         with contextlib.suppress(OSError, asyncio.CancelledError):  # cancelled by ``stop``: no error to print
             while data := await reader.read(16_384):
                 for message in parser.feed(data):
                     self._on_message(writer, message)
         self.connections -= 1
+        self._writers.remove(writer)
         writer.close()
 
     async def _report_load(self, writer: asyncio.StreamWriter) -> None:
@@ -155,6 +167,8 @@
                     self._enqueue(Job(writer, None, REJECTION_COST))
                 else:
                     self._enqueue(Job(writer, message))
+            case "BYE", 200:
+                self._unconfirmed.pop(message.call_id, None)
             case (("BYE" | "CANCEL"), 0):
                 self._cancelled.add(message.call_id)
                 if (call := self._calls.pop(message.call_id, None)) is not None:
--- a/experiments/process_usage.py
+++ b/experiments/process_usage.py
@@ -21,3 +21,8 @@
     """User and system processor time of a process, in seconds."""
     user, system = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[11:13]
     return (int(user) + int(system)) / TICKS_PER_S
+
+
+def open_descriptors(pid: int) -> int:
+    """How many file descriptors a process holds."""
+    return len(os.listdir(f"/proc/{pid}/fd"))
--- /dev/null
+++ b/experiments/soak/report.py
@@ -0,0 +1,72 @@
+"""What a run of the soak prints: its verdict, and for a failure all that is needed to look into it."""
+
+from __future__ import annotations
+
+import re
+
+from experiments.soak.scenario import Scenario
+from verification.call_rules import Violation, check, count_answers
+from verification.call_trace import CallTrace
+
+MAX_VIOLATIONS = 8  # printed of one run
+LOG_LINE = re.compile(r"\d{4}-\d\d-\d\d ")  # a line of the log begins with its date; a counter does not
+
+
+def verdict(scenario: Scenario, trace: CallTrace) -> tuple[str, list[Violation]]:
+    """A line on the run, and the violations of the rules."""
+    violations = check(trace)
+    answers = ", ".join(f"{count} {answer.value}" for answer, count in count_answers(trace).items())
+    state = f"{len(violations)} violations" if violations else "no rule broken"
+    lateness_ms = 1000 * trace.max_lateness_s
+    line = f"seed {scenario.seed}: {state}; {len(trace.calls)} calls: {answers}; {scenario.describe()}"
+    return f"{line}; the rig late by {lateness_ms:.0f} ms at most", violations
+
+
+def describe_failure(scenario: Scenario, trace: CallTrace, violations: list[Violation]) -> str:
+    """The rules broken, the command that plays the run again, one call's way, and the logs' last lines."""
+    lines = [f"  {violation.rule}: {violation.text}" for violation in violations[:MAX_VIOLATIONS]]
+    lines.append(f"  again: python -m experiments.soak --seed {scenario.seed}")
+    call_id = next((v.call_id for v in violations if v.call_id is not None), None)
+    if call_id is not None:
+        lines += [f"  call {call_id}:", *(f"    {line}" for line in way_of_call(trace, call_id))]
+    for process in trace.processes:
+        lines.append(f"  log of {process.name}:")
+        lines += [f"    {line}" for line in process.log.splitlines() if _is_of_interest(line, call_id)]
+    return "\n".join(lines)
+
+
+def way_of_call(trace: CallTrace, call_id: str) -> list[str]:
+    """All that the peers saw of one call, in the order of time."""
+    events: list[tuple[float, str]] = []
+    if (call := trace.calls.get(call_id)) is not None:
+        events.append((call.sent_s, "its caller sends it" + (", again" if call.resent else "")))
+        events.append((call.deadline_s, "its caller's deadline"))
+        events += [(at_s, f"its caller gets: {answer.value}") for at_s, answer in call.answers]
+        events += [(at_s, "its caller gets a release") for at_s in call.releases_s]
+        events += [(at_s, text) for at_s, text in _ends_at_caller(trace, call_id) if at_s is not None]
+    for attempt in trace.attempts:
+        if attempt.call_id == call_id:
+            events.append((attempt.received_s, f"{attempt.server} gets its set-up"))
+            if attempt.ended_s is not None and attempt.end is not None:
+                events.append((attempt.ended_s, f"{attempt.server}: {attempt.end.value}"))
+    for established in trace.established:
+        if established.call_id == call_id:
+            server = established.server
+            ends = [
+                (established.released_by_server_s, f"{server} releases it"),
+                (established.released_by_proxy_s, f"{server} gets a release"),
+                (established.cut_s, f"{server} goes away with it"),
+            ]
+            events += [(at_s, text) for at_s, text in ends if at_s is not None]
+    first_s = min((at_s for at_s, _ in events), default=0.0)
+    return [f"{at_s:.3f} (+{at_s - first_s:.3f}) {text}" for at_s, text in sorted(events)]
+
+
+def _ends_at_caller(trace: CallTrace, call_id: str) -> list[tuple[float | None, str]]:
+    call = trace.calls[call_id]
+    return [(call.abandoned_s, "its caller ends it"), (call.lost_s, "its caller's connection ends")]
+
+
+def _is_of_interest(line: str, call_id: str | None) -> bool:
+    """Counters at the end of a log are left out."""
+    return (call_id is not None and call_id in line) or LOG_LINE.match(line) is not None
--- /dev/null
+++ b/tests/test_call_rules.py
@@ -0,0 +1,189 @@
+"""The rules of the service over traces: each is broken by one change to a trace that holds."""
+
+from __future__ import annotations
+
+import pytest
+
+from verification.call_rules import Violation, check
+from verification.call_trace import (
+    Answer,
+    CallerCall,
+    CallTrace,
+    Drain,
+    End,
+    HeldConnection,
+    ProcessLife,
+    Readiness,
+    ServerAttempt,
+    ServerCall,
+    Told,
+)
+
+ID = "aa" * 8
+
+
+def trace() -> CallTrace:
+    """A call given up at one server, established at another and ended; a drain; a process that ends."""
+    held = CallTrace(release_wait_s=0.2, drain_grace_s=0.25, ended_s=30.0)
+    held.calls[ID] = CallerCall(ID, 1.0, 4.0, answers=[(2.0, Answer.SERVED)], releases_s=[5.1])
+    held.attempts = [
+        ServerAttempt(ID, "a", 1.0, 1.5, End.CANCELLED),
+        ServerAttempt(ID, "b", 1.71, 1.99, End.ANSWERED),
+    ]
+    held.established = [ServerCall(ID, "b", 1.99, released_by_server_s=5.0)]
+    held.told = [Told("b", 1.5, 9.0)]
+    held.drains = [Drain("p", 10.0, 16.0, resumed=True)]
+    held.readiness = [Readiness("p", 15.0, False), Readiness("p", 17.0, True)]
+    held.held = [HeldConnection("p", 15.0, None, established=True)]
+    held.processes = [
+        ProcessLife("p", 0.0, terminated_s=20.0, exit_status=0, first_usage=(10, 20.0), last_usage=(12, 21.0))
+    ]
+    return held
+
+
+def answered_twice(t: CallTrace) -> None:
+    t.calls[ID].answers.append((2.1, Answer.FAILED))
+
+
+def answered_late(t: CallTrace) -> None:
+    t.calls[ID].deadline_s = 1.9
+
+
+def not_answered(t: CallTrace) -> None:
+    t.calls[ID].answers.clear()
+
+
+def connection_lost(t: CallTrace) -> None:
+    t.calls[ID].lost_s = 1.2
+
+
+def served_by_nobody(t: CallTrace) -> None:
+    t.established.clear()
+
+
+def attempts_overlap(t: CallTrace) -> None:
+    t.attempts[0].ended_s = 1.8
+
+
+def attempt_never_ends(t: CallTrace) -> None:
+    t.attempts[0].ended_s = None
+
+
+def sent_again_early(t: CallTrace) -> None:
+    t.attempts[0].ended_s = 1.6
+
+
+def sent_again_early_after_a_disconnect(t: CallTrace) -> None:
+    t.attempts[0].ended_s, t.attempts[0].end = 1.6, End.DISCONNECTED
+
+
+def sent_to_drained_server(t: CallTrace) -> None:
+    t.told = [Told("b", 1.4, 9.0)]
+
+
+def caller_not_told(t: CallTrace) -> None:
+    t.calls[ID].releases_s.clear()
+
+
+def caller_told_late(t: CallTrace) -> None:
+    t.calls[ID].releases_s = [6.2]
+
+
+def server_not_told(t: CallTrace) -> None:
+    t.calls[ID].abandoned_s, t.calls[ID].releases_s = 3.0, []
+    t.established[0].released_by_server_s = None
+
+
+def connection_refused(t: CallTrace) -> None:
+    t.refused_connections_s.append(3.0)
+
+
+def ready_in_drain(t: CallTrace) -> None:
+    t.readiness[0] = Readiness("p", 15.0, True)
+
+
+def idle_connection_in_drain(t: CallTrace) -> None:
+    t.held[0] = HeldConnection("p", 15.0, None, established=False)
+
+
+def new_set_up_in_drain(t: CallTrace) -> None:
+    t.held[0] = HeldConnection("p", 15.0, 1.0, established=True)
+
+
+def not_ready_after_resume(t: CallTrace) -> None:
+    t.readiness[1] = Readiness("p", 18.5, True)
+
+
+def traceback_logged(t: CallTrace) -> None:
+    t.processes[0].log = "Traceback (most recent call last):"
+
+
+def killed(t: CallTrace) -> None:
+    t.processes[0].killed = True
+
+
+def exit_status(t: CallTrace) -> None:
+    t.processes[0].exit_status = 1
+
+
+def ended_untold(t: CallTrace) -> None:
+    t.processes[0].terminated_s = None
+
+
+def descriptors_grow(t: CallTrace) -> None:
+    t.processes[0].last_usage = (40, 21.0)
+
+
+def memory_grows(t: CallTrace) -> None:
+    t.processes[0].last_usage = (12, 40.0)
+
+
+BREAKS = {
+    answered_twice: "answers",
+    answered_late: "late",
+    not_answered: "unanswered",
+    connection_lost: "lost",
+    served_by_nobody: "made up",
+    attempts_overlap: "two attempts",
+    attempt_never_ends: "two attempts",
+    sent_again_early: "release wait",
+    sent_again_early_after_a_disconnect: "release wait",
+    sent_to_drained_server: "drained server",
+    caller_not_told: "release to caller",
+    caller_told_late: "release to caller",
+    server_not_told: "release to server",
+    connection_refused: "door",
+    ready_in_drain: "drain",
+    idle_connection_in_drain: "drain",
+    new_set_up_in_drain: "drain",
+    not_ready_after_resume: "resume",
+    traceback_logged: "traceback",
+    killed: "exit",
+    exit_status: "exit",
+    ended_untold: "exit",
+    descriptors_grow: "descriptors",
+    memory_grows: "memory",
+}
+
+
+def rules(violations: list[Violation]) -> set[str]:
+    return {violation.rule for violation in violations}
+
+
+def test_a_trace_that_holds_breaks_no_rule():
+    assert check(trace()) == []
+
+
+@pytest.mark.parametrize(("change", "rule"), BREAKS.items(), ids=lambda each: getattr(each, "__name__", each))
+def test_each_change_breaks_its_rule_alone(change, rule):
+    changed = trace()
+    change(changed)
+    assert rules(check(changed)) == {rule}
+
+
+def test_the_lateness_of_the_observer_is_allowed_for():
+    """What it noted late may have happened in time."""
+    late = trace()
+    sent_again_early(late)
+    late.max_lateness_s = 0.1
+    assert check(late) == []
