An attempt whose answer was not readable ends once its release has left

Callers: none seen; a call whose first answer came spoilt could be sent elsewhere and established twice, where the connection for its release came up later than the release wait.

Cause: the set-ups of a connection that ended by a bad message were reported as reset at once, while the release that takes back what may be established waited for the next connection.

Change: such an attempt ends once that release has been written, or no connection for it comes up (refused, timed out, or the server is gone); a cancellation meanwhile waits for the same. The call's own deadline and final answer are as before.

Evidence: the new test failed before (the second set-up went out while the release still waited); 194 tests of exchanges, servers and the release wait pass. The soak's processes have loopback addresses of their own, since two soaks at once could share a port.

--- a/canvasplank/network/peer_table.py
+++ b/canvasplank/network/peer_table.py
@@ -141,6 +141,7 @@
         """It goes on without this proxy, which has nothing there: end its connections."""
         del self._peers[peer.server_id]
         self._connections.fail_connecting(peer, "left to others")
+        peer.stop_waiting_for_releases()
         for stream in list(peer.streams):
             stream.close_writing()
 
@@ -155,6 +156,7 @@
         self._peers.pop(peer.server_id, None)
         self._connections.fail_connecting(peer, "gone")
         self._connections.abort(list(peer.streams))
+        peer.stop_waiting_for_releases()
         self._exchange.process_ended(peer.server_id, float("inf"))
 
     def _check_gone(self, peer: Peer) -> None:
--- a/canvasplank/network/server_connections.py
+++ b/canvasplank/network/server_connections.py
@@ -110,8 +110,8 @@
         peer.streams.append(stream)
         self.exchange.counters.add("sockets.servers")
         # Releases first: a pending one for an earlier attempt would end the call's next.
-        for call_id, cause in peer.take_pending_releases():
-            stream.send_release(call_id, cause)
+        for call_id, pending in peer.take_pending_releases():
+            stream.send_release(call_id, pending.cause, pending.on_sent)
         for waiting in stream.waiting.values():
             stream.send_set_up(waiting)
         stream.waiting.clear()
@@ -127,12 +127,28 @@
             peer.current = None
         peer.resend_unconfirmed(stream)
         for call_id, attempt in stream.take_open_set_ups():
-            if stream.ended_unreadably:
-                # Its answer may have come and not been readable: the call would be established for nobody.
-                peer.send_release(call_id, ReleaseCause.NORMAL_UNSPECIFIED)
-            self._end_attempt(peer, call_id, attempt, api.Outcome.RESET)
+            self._on_set_up_reset(stream, call_id, attempt)
         self._reconnect_later(peer)
 
+    def _on_set_up_reset(self, stream: ServerStream, call_id: str, attempt: int) -> None:
+        """Report it, and release what may have been established by an answer that was not readable.
+
+        Then the attempt has ended once that release has left, or no connection for it comes up: the call is
+        not to be established twice.
+        """
+        peer = stream.peer
+
+        def end() -> None:
+            self._end_attempt(peer, call_id, attempt, api.Outcome.RESET)
+
+        if not stream.ended_unreadably:
+            end()
+        elif self.is_listed(peer):
+            peer.send_release(call_id, ReleaseCause.NORMAL_UNSPECIFIED, end)
+        else:
+            peer.send_release(call_id, ReleaseCause.NORMAL_UNSPECIFIED)
+            end()
+
     def _on_connection_failed(self, stream: ServerStream, reason: str) -> None:
         """It did not come up: the set-ups that waited for it were never sent."""
         peer = stream.peer
@@ -144,6 +160,7 @@
         self.exchange.counters.add("sockets.servers_failed")
         for call_id, waiting in stream.take_waiting():
             self._end_attempt(peer, call_id, waiting.attempt, api.Outcome.NO_CONNECTION)
+        peer.stop_waiting_for_releases()
         self._reconnect_later(peer)
 
     def _end_attempt(self, peer: Peer, call_id: str, attempt: int, outcome: api.Outcome) -> None:
--- a/canvasplank/network/server_stream.py
+++ b/canvasplank/network/server_stream.py
@@ -32,6 +32,13 @@
     until_ms: float  # the deadline of its attempt
 
 
+class PendingRelease(NamedTuple):
+    """A release that waits for a connection."""
+
+    cause: int
+    on_sent: Callable[[], None] | None = None  # called once it has left, or cannot
+
+
 class ServerStreamOwner(Protocol):
     """What holds the connections and acts on their events: see ``ServerConnections``."""
 
@@ -61,18 +68,36 @@
     reports_circuits: bool = False  # whether it has ever reported its circuits
     silence_timeout_ms: float = SILENCE_TIMEOUT_MS
     streams: list[ServerStream] = field(default_factory=list)  # all that are established
-    pending_releases: dict[str, int] = field(default_factory=dict)  # causes, for the next connection
+    pending_releases: dict[str, PendingRelease] = field(default_factory=dict)  # for the next connection
     connect_after_ms: float = 0.0  # its first connection is made no sooner, unless a set-up needs it
 
-    def send_release(self, call_id: str, cause: int) -> None:
+    def send_release(self, call_id: str, cause: int, on_sent: Callable[[], None] | None = None) -> None:
         """Write a release to the current connection, or store it for the next."""
         if self.current is not None and self.current.is_open:
-            self.current.send_release(call_id, cause)
+            self.current.send_release(call_id, cause, on_sent)
         elif len(self.pending_releases) < MAX_PENDING_RELEASES:
-            self.pending_releases[call_id] = cause
-
-    def take_pending_releases(self) -> list[tuple[str, int]]:
-        """Remove the releases that waited for a connection, and return their calls and causes."""
+            self.pending_releases[call_id] = PendingRelease(cause, on_sent)
+        elif on_sent is not None:
+            on_sent()
+
+    def wait_for_release(self, call_id: str, on_sent: Callable[[], None]) -> bool:
+        """Call this instead of what waits for a pending release; False: nothing does."""
+        pending = self.pending_releases.get(call_id)
+        if pending is None or pending.on_sent is None:
+            return False
+        self.pending_releases[call_id] = PendingRelease(pending.cause, on_sent)
+        return True
+
+    def stop_waiting_for_releases(self) -> None:
+        """No connection comes up for now: nothing waits for the pending releases any more."""
+        waited_for = [(call_id, each) for call_id, each in self.pending_releases.items() if each.on_sent]
+        for call_id, pending in waited_for:
+            self.pending_releases[call_id] = PendingRelease(pending.cause)
+            if pending.on_sent is not None:
+                pending.on_sent()
+
+    def take_pending_releases(self) -> list[tuple[str, PendingRelease]]:
+        """Remove the releases that waited for a connection, and return them by call."""
         pending = list(self.pending_releases.items())
         self.pending_releases.clear()
         return pending
@@ -153,11 +178,13 @@
         self.write(sip.request("INVITE", call.number, call.id, attempt + 1, headers, call.description))
         self._owner.exchange.counters.by_class("attempts", call.class_name)
 
-    def send_release(self, call_id: str, cause: int) -> None:
-        """Write a BYE with its Q.850 cause (RFC 3326)."""
+    def send_release(self, call_id: str, cause: int, on_sent: Callable[[], None] | None = None) -> None:
+        """Write a BYE with its Q.850 cause (RFC 3326); ``on_sent``: see ``call_when_sent``."""
         self._owner.exchange.counters.add("sent.releases_to_servers")
         self.unconfirmed.add(call_id, cause, self.scheduler.now_ms)
         self.write(sip.request("BYE", "call", call_id, 1, {"Reason": f"Q.850;cause={cause}"}))
+        if on_sent is not None:
+            self.call_when_sent(on_sent)
 
     def take_waiting(self) -> list[tuple[str, WaitingSetUp]]:
         """Remove the set-ups that wait for it to come up, and return them by call."""
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -108,7 +108,8 @@
                 stream.write(sip.request("CANCEL", "call", call_id, attempt + 1))
                 stream.call_when_sent(on_sent)
                 return
-        on_sent()
+        if peer is None or not peer.wait_for_release(call_id, on_sent):
+            on_sent()
 
     def release(self, server_id: str | None, call_id: str, cause: int) -> None:
         """See ``ServerSide``: on the connection that is up, or on the next one."""
--- a/experiments/soak/deployment.py
+++ b/experiments/soak/deployment.py
@@ -17,7 +17,7 @@
 from emulators.tasks import Tasks
 from experiments.soak.callers import SoakCallers
 from experiments.soak.observed_link import ObservedLink, ServerObserver
-from experiments.soak.proxies import ProxyProcess
+from experiments.soak.proxies import ProxyProcess, own_host
 from experiments.soak.scenario import CALLS_PER_S, LOAD_S, PROXIES, SERVERS, Disturbance, Kind, Scenario
 from verification.call_trace import CallTrace, Told
 
@@ -94,7 +94,7 @@
         self._discovery_links: list[Link] = []  # the second takes over on a reload
         self._discovery_address = ""
         self._discovery_troubled_s = 0.0  # until then
-        self._addresses = [f"127.0.0.1:{free_port()}" for _ in range(PROXIES)]
+        self._addresses = [f"{own_host()}:{free_port()}" for _ in range(PROXIES)]
         self._proxies: list[list[ProxyProcess]] = [[] for _ in range(PROXIES)]  # by address, the newest last
         self._callers = SoakCallers(scenario.seed, self.trace, self._admitted, self._is_serving)
         self._tasks = Tasks()
--- a/experiments/soak/proxies.py
+++ b/experiments/soak/proxies.py
@@ -25,12 +25,22 @@
 ADMITTED_AFTER_NO_S = 0.2  # new connections keep coming for so long after the first no
 
 
+def own_host() -> str:
+    """A loopback address that no other soak on this machine uses.
+
+    The program shares its ports (``SO_REUSEPORT``): on one address, two soaks that drew the same port would
+    answer each other's peers.
+    """
+    number = os.getpid() % (1 << 22)
+    return f"127.{1 + (number >> 16)}.{number >> 8 & 255}.{number & 255}"
+
+
 class ProxyProcess:
     """One process, and what its front knows of it."""
 
     def __init__(self, name: str, address: str, folder: Path, trace: CallTrace) -> None:
         self.name, self.address = name, address
-        self.admin = f"127.0.0.1:{free_port()}"
+        self.admin = f"{own_host()}:{free_port()}"
         self.life = ProcessLife(name, time.time())
         self.ready = False
         self.first_no_s: float | None = None  # since its last yes
--- a/tests/test_release_wait.py
+++ b/tests/test_release_wait.py
@@ -183,3 +183,48 @@
             rig.close()
 
     assert run_coroutine(run()) >= RULES.release_ms
+
+
+def test_the_release_wait_counts_from_when_a_release_of_an_unreadable_answer_has_left(monkeypatch):
+    """It waited for a connection while the call was sent elsewhere, and established twice."""
+
+    async def run() -> float:
+        rig = ServerSide(monkeypatch)
+        try:
+            await rig.start()
+            await rig.offer()
+            peer = rig.first_stream().peer
+            peer.connect_after_ms = float("inf")  # no connection comes up until further notice
+            rig.first_stream().abort_unreadable("a bad message")
+            for _ in range(100):  # also past when the decision module would move the call
+                await rig.step()
+            assert peer.pending_releases
+            assert len(rig.sent_ms) == 1
+            peer.connect_after_ms = 0.0
+            rig.servers._connections.connect(peer)
+            async with asyncio.timeout(WAIT_S):
+                while peer.pending_releases:
+                    await rig.step()
+            left_ms = rig.now_ms
+            await rig.until_sent_again()
+            return rig.sent_ms[1] - left_ms
+        finally:
+            rig.close()
+
+    assert run_coroutine(run()) >= RULES.release_ms - STEP_MS
+
+
+def test_a_call_does_not_wait_for_a_release_that_no_connection_can_carry(monkeypatch):
+    async def run() -> int:
+        rig = ServerSide(monkeypatch)
+        try:
+            await rig.start()
+            await rig.offer()
+            rig.listeners[rig.first_server].close()
+            rig.first_stream().abort_unreadable("a bad message")
+            await rig.until_sent_again()
+            return len(set(rig.servers_sent_to))
+        finally:
+            rig.close()
+
+    assert run_coroutine(run()) == 2
