--- a/experiments/soak/callers.py
+++ b/experiments/soak/callers.py
@@ -32,9 +32,17 @@
     writer: asyncio.StreamWriter
     address: str
     used_s: float
+    free_s: float = field(default_factory=time.time)  # when no set-up was open on it any more
     open: set[str] = field(default_factory=set)
     established: set[str] = field(default_factory=set)
     ended: bool = False
+    unconfirmed: dict[str, None] = field(default_factory=dict)  # calls whose release was written here
+
+    def close_set_up(self, call_id: str) -> None:
+        """A set-up on it is open no more."""
+        self.open.discard(call_id)
+        if not self.open:
+            self.free_s = time.time()
 
 
 class SoakCallers:
@@ -113,6 +121,8 @@
         self.connections.remove(connection)
         connection.writer.close()
         now_s = time.time()
+        for call_id in connection.unconfirmed:
+            self._tasks.keep(self._release_again(call_id))
         for call_id in list(connection.open):
             call = self._trace.calls[call_id]
             crossed = now_s - call.sent_s <= CROSSING_S + self._trace.max_lateness_s
@@ -175,7 +185,7 @@
         if connection is None or call.call_id not in connection.open:
             return
         call.abandoned_s = time.time()
-        connection.open.discard(call.call_id)
+        connection.close_set_up(call.call_id)
         connection.writer.write(isup.release(call.call_id, ReleaseCause.NORMAL_CLEARING))
 
     def _connection_of(self, call_id: str) -> Connection | None:
@@ -190,8 +200,18 @@
             connection = self._random.choice(self.connections)
         if connection is not None and not call.releases_s:
             call.abandoned_s = time.time()
-            connection.established.discard(call.call_id)
-            connection.writer.write(isup.release(call.call_id, ReleaseCause.NORMAL_CLEARING))
+            self._write_release(connection, call.call_id)
+
+    def _write_release(self, connection: Connection, call_id: str) -> None:
+        connection.established.discard(call_id)
+        connection.unconfirmed[call_id] = None
+        connection.writer.write(isup.release(call_id, ReleaseCause.NORMAL_CLEARING))
+
+    async def _release_again(self, call_id: str) -> None:
+        """The connection that its release was written on ended without confirming it."""
+        connection = await self._choose()
+        if connection is not None:
+            self._write_release(connection, call_id)
 
     def _on_message(self, connection: Connection, message: isup.Message) -> None:
         call = self._trace.calls.get(message.call_id)
@@ -203,6 +223,8 @@
             connection.established.add(call.call_id)
             if self._random.random() < RELEASE_PROBABILITY:
                 self._tasks.keep(self._release_later(call))
+        elif message.kind == isup.Kind.RELEASE_CONFIRMED:
+            connection.unconfirmed.pop(message.call_id, None)
         elif message.kind == isup.Kind.RELEASE:
             connection.writer.write(isup.release_confirmed(call.call_id))
             connection.established.discard(call.call_id)
@@ -213,7 +235,7 @@
                 self._on_final_answer(connection, call, Answer.REFUSED if refused else Answer.FAILED)
 
     def _on_final_answer(self, connection: Connection, call: CallerCall, answer: Answer) -> None:
-        connection.open.discard(call.call_id)
+        connection.close_set_up(call.call_id)
         if call.abandoned_s is None:
             call.answers.append((time.time(), answer))
 
@@ -224,7 +246,8 @@
             if connection.address == address:
                 sent_s = [self._trace.calls[call_id].sent_s for call_id in connection.open]
                 age_s = now_s - max(sent_s) if sent_s else None
-                held.append(HeldConnection(process, now_s, age_s, bool(connection.established)))
+                established = bool(connection.established)
+                held.append(HeldConnection(process, now_s, age_s, established, connection.free_s))
         return held
 
     def close_idle(self) -> None:
--- a/experiments/soak/deployment.py
+++ b/experiments/soak/deployment.py
@@ -19,7 +19,7 @@
 from experiments.soak.observed_link import ObservedLink, ServerObserver
 from experiments.soak.proxies import ProxyProcess, own_host
 from experiments.soak.scenario import CALLS_PER_S, LOAD_S, PROXIES, SERVERS, Disturbance, Kind, Scenario
-from verification.call_trace import CallTrace, Told
+from verification.call_trace import CallTrace, Disturbed, Told
 
 MS_PER_S = 1000.0
 LATENESS_INTERVAL_S = 0.01
@@ -31,6 +31,7 @@
 DISCOVERY_LATE_S = 7.0  # a notification counts as received so late at the latest
 SETTLE_S = 6.0  # for calls that are open at the end of the load
 LAST_RELEASES_S = 1.5
+RECOVERY_S = 1.5  # after a disturbance, for connections to come up
 IDLE_S = 0.6  # for connections to end once callers have gone
 
 
@@ -172,9 +173,7 @@
 
     def _is_serving(self, address: str) -> bool:
         processes = self._proxies[self._addresses.index(address)]
-        return any(
-            process.running and process.ready and not process.life.terminated_s for process in processes
-        )
+        return any(process.takes_connections for process in processes)
 
     async def _watch_connections(self) -> None:
         """Note which connections each drained process holds, by callers' connections to its address."""
@@ -292,14 +291,20 @@
 
     async def _hang(self, server: Server, for_s: float) -> None:
         assert server.link is not None, "it was started"
+        self._note_disturbed(server, for_s + RECOVERY_S)
         server.link.cut()
         await asyncio.sleep(for_s)
         server.link.heal()
 
     async def _reset(self, server: Server) -> None:
         assert server.link is not None, "it was started"
+        self._note_disturbed(server, RECOVERY_S)
         server.link.reset()
 
+    def _note_disturbed(self, server: Server, for_s: float) -> None:
+        now_s = time.time()
+        self.trace.disturbed.append(Disturbed(server.name, now_s, now_s + for_s))
+
     async def _drain_server(self, server: Server) -> None:
         await self._tell_drained(server, "draining", SERVER_DRAIN_S)
         await asyncio.sleep(SERVER_DRAIN_S)
--- a/experiments/soak/proxies.py
+++ b/experiments/soak/proxies.py
@@ -88,6 +88,13 @@
         no_s = self.first_no_s
         return self.ready or (no_s is not None and time.time() - no_s < ADMITTED_AFTER_NO_S)
 
+    @property
+    def takes_connections(self) -> bool:
+        """Whether it owes its callers that new connections come up."""
+        terminated_s = self.life.terminated_s
+        recently = terminated_s is None or time.time() - terminated_s < ADMITTED_AFTER_NO_S
+        return self.admits and recently
+
     async def watch(self) -> None:
         """Ask it every 0.1 s whether it is ready, as a front does."""
         while True:
--- a/tests/test_call_rules.py
+++ b/tests/test_call_rules.py
@@ -9,6 +9,7 @@
     Answer,
     CallerCall,
     CallTrace,
+    Disturbed,
     Drain,
     End,
     HeldConnection,
@@ -34,7 +35,7 @@
     held.told = [Told("b", 1.5, 9.0)]
     held.drains = [Drain("p", 10.0, 16.0, resumed=True)]
     held.readiness = [Readiness("p", 15.0, False), Readiness("p", 17.0, True)]
-    held.held = [HeldConnection("p", 15.0, None, established=True)]
+    held.held = [HeldConnection("p", 15.0, None, True, 13.0)]
     held.processes = [
         ProcessLife("p", 0.0, terminated_s=20.0, exit_status=0, first_usage=(10, 20.0), last_usage=(12, 21.0))
     ]
@@ -53,6 +54,10 @@
     t.calls[ID].answers.clear()
 
 
+def given_up_past_the_deadline(t: CallTrace) -> None:
+    t.calls[ID].answers, t.calls[ID].abandoned_s, t.calls[ID].deadline_s = [], 4.3, 4.0
+
+
 def connection_lost(t: CallTrace) -> None:
     t.calls[ID].lost_s = 1.2
 
@@ -94,6 +99,11 @@
     t.established[0].released_by_server_s = None
 
 
+def server_told_late(t: CallTrace) -> None:
+    server_not_told(t)
+    t.established[0].released_by_proxy_s = 4.5
+
+
 def connection_refused(t: CallTrace) -> None:
     t.refused_connections_s.append(3.0)
 
@@ -103,11 +113,11 @@
 
 
 def idle_connection_in_drain(t: CallTrace) -> None:
-    t.held[0] = HeldConnection("p", 15.0, None, established=False)
+    t.held[0] = HeldConnection("p", 15.0, None, False, 14.5)
 
 
 def new_set_up_in_drain(t: CallTrace) -> None:
-    t.held[0] = HeldConnection("p", 15.0, 1.0, established=True)
+    t.held[0] = HeldConnection("p", 15.0, 0.2, True, 14.5)
 
 
 def not_ready_after_resume(t: CallTrace) -> None:
@@ -142,6 +152,7 @@
     answered_twice: "answers",
     answered_late: "late",
     not_answered: "unanswered",
+    given_up_past_the_deadline: "unanswered",
     connection_lost: "lost",
     served_by_nobody: "made up",
     attempts_overlap: "two attempts",
@@ -152,6 +163,7 @@
     caller_not_told: "release to caller",
     caller_told_late: "release to caller",
     server_not_told: "release to server",
+    server_told_late: "release to server",
     connection_refused: "door",
     ready_in_drain: "drain",
     idle_connection_in_drain: "drain",
@@ -181,6 +193,21 @@
     assert rules(check(changed)) == {rule}
 
 
+def test_a_connection_with_a_set_up_open_at_every_moment_may_be_held_in_a_drain():
+    """Each of them is owed its answer there."""
+    busy = trace()
+    busy.held[0] = HeldConnection("p", 15.0, 0.2, True, 13.0)
+    assert check(busy) == []
+
+
+def test_a_release_that_nothing_can_reach_the_server_with_has_more_time():
+    cut_off = trace()
+    server_not_told(cut_off)
+    cut_off.disturbed = [Disturbed("b", 2.5, 5.0)]
+    cut_off.established[0].released_by_proxy_s = 5.5
+    assert check(cut_off) == []
+
+
 def test_the_lateness_of_the_observer_is_allowed_for():
     """What it noted late may have happened in time."""
     late = trace()
--- a/verification/call_rules.py
+++ b/verification/call_rules.py
@@ -43,7 +43,7 @@
             lost_ms = 1000 * (call.lost_s - call.sent_s)
             text = f"call {call.call_id}: its connection ended unanswered, {lost_ms:.0f} ms after its set-up"
             yield Violation("lost", text, call.call_id)
-        elif not call.answers and call.abandoned_s is None and call.deadline_s + allowance_s < trace.ended_s:
+        elif not call.answers and _waited_in_vain(call, allowance_s, trace.ended_s):
             yield Violation("unanswered", f"call {call.call_id} got no final answer", call.call_id)
         elif call.answers and call.answers[0][0] > call.deadline_s + allowance_s:
             late_ms = 1000 * (call.answers[0][0] - call.deadline_s)
@@ -51,6 +51,12 @@
             yield Violation("late", text, call.call_id)
 
 
+def _waited_in_vain(call: CallerCall, allowance_s: float, ended_s: float) -> bool:
+    """Whether its caller waited to its deadline, and did not end the call before."""
+    waited_until_s = ended_s if call.abandoned_s is None else call.abandoned_s
+    return waited_until_s > call.deadline_s + allowance_s
+
+
 def check_served_by_a_server(trace: CallTrace) -> Iterator[Violation]:
     """A call is served only by a server's answer."""
     established = {each.call_id for each in trace.established}
@@ -110,10 +116,11 @@
                 text = f"call {call.call_id} was ended by {served.server}, and its caller was not told"
                 yield Violation("release to caller", text, call.call_id)
         given_up_s = call.abandoned_s
-        limit_s = UNSENDABLE_RELEASE_LIMIT_S + SLACK_S + trace.max_lateness_s
-        if given_up_s is not None and served.released_by_server_s is None and served.cut_s is None:
-            is_due = max(given_up_s, served.established_s) + limit_s < trace.ended_s
-            if is_due and served.released_by_proxy_s is None:
+        limit_s = _limit_to_server_s(trace, served.server, given_up_s)
+        if given_up_s is not None and served.cut_s is None:
+            due_s = max(given_up_s, served.established_s) + limit_s
+            ended_s = min(served.released_by_server_s or trace.ended_s, trace.ended_s)
+            if due_s < ended_s and (served.released_by_proxy_s or float("inf")) > due_s:
                 text = f"call {call.call_id} was ended by its caller, and {served.server} was not told"
                 yield Violation("release to server", text, call.call_id)
 
@@ -126,6 +133,17 @@
     return limit_s + SLACK_S + trace.max_lateness_s
 
 
+def _limit_to_server_s(trace: CallTrace, server: str, given_up_s: float | None) -> float:
+    """For the release of a call that its caller ended then to reach the server."""
+    at_s = given_up_s or 0.0
+    disturbed = any(
+        each.server == server and each.from_s <= at_s + RELEASE_LIMIT_S and at_s <= each.until_s
+        for each in trace.disturbed
+    )
+    limit_s = UNSENDABLE_RELEASE_LIMIT_S if disturbed else RELEASE_LIMIT_S
+    return limit_s + SLACK_S + trace.max_lateness_s
+
+
 def _is_standing(call: CallerCall, at_s: float) -> bool:
     """Whether its caller takes the call for established at this time."""
     ended_s = min([*call.releases_s, call.abandoned_s or float("inf")], default=float("inf"))
@@ -154,7 +172,9 @@
     for held in trace.held:
         during = held.process == drain.process and due_s < held.at_s < drain.until_s
         idle = held.request_age_s is None and not held.established
-        young = held.request_age_s is not None and held.request_age_s < DRAIN_REQUEST_S
+        # Where a set-up was open at every moment, each is owed its answer there.
+        could_end = due_s < held.free_s < held.at_s - allowance_s
+        young = held.request_age_s is not None and held.request_age_s < DRAIN_REQUEST_S and could_end
         if during and (idle or young):
             state = "an idle connection" if idle else "a connection with a new set-up"
             yield Violation("drain", f"{drain.process} held {state} in its drain")
--- a/verification/call_trace.py
+++ b/verification/call_trace.py
@@ -104,6 +104,16 @@
     at_s: float
     request_age_s: float | None  # of its newest unanswered set-up; None: it has none
     established: bool  # whether a call that was answered on it still is
+    free_s: float  # when a set-up was last unanswered no more and no other was open; else when it came up
+
+
+@dataclass(frozen=True, slots=True)
+class Disturbed:
+    """A time in which nothing may have reached a call server."""
+
+    server: str
+    from_s: float
+    until_s: float
 
 
 @dataclass(slots=True)
@@ -133,6 +143,7 @@
     drains: list[Drain] = field(default_factory=list)
     readiness: list[Readiness] = field(default_factory=list)
     held: list[HeldConnection] = field(default_factory=list)
+    disturbed: list[Disturbed] = field(default_factory=list)
     unconnected_s: list[float] = field(default_factory=list)  # a process might have no caller's connection
     refused_connections_s: list[float] = field(default_factory=list)  # while a process was ready
     processes: list[ProcessLife] = field(default_factory=list)
