The deadline sent to a server is what remains after a pause in the iteration, too

Callers: none seen; a server was sent the time that remained when the iteration began, so after a pause of the process it could work on a call that had been given up. The time is read as the set-up is written.

--- a/canvasplank/network/server_stream.py
+++ b/canvasplank/network/server_stream.py
@@ -172,8 +172,8 @@
         if self._unanswered_since_ms is None:
             self._unanswered_since_ms = self.scheduler.now_ms
         self.open_set_ups[call.id] = attempt
-        # What remains now, and not when the set-up was queued: the connection may have come up late.
-        remaining_ms = max(1, round(waiting.until_ms - self.scheduler.now_ms))
+        # What remains at this point, and not when the set-up was queued or the iteration began.
+        remaining_ms = max(1, round(waiting.until_ms - self.scheduler.read_clock()))
         headers = {"X-Tier": call.class_name, "X-Deadline": str(remaining_ms)}
         self.write(sip.request("INVITE", call.number, call.id, attempt + 1, headers, call.description))
         self._owner.exchange.counters.by_class("attempts", call.class_name)
--- a/tests/server_side.py
+++ b/tests/server_side.py
@@ -131,10 +131,12 @@
         await self.step(0.0)
         assert len(self.sent_ms) == 1
 
-    def offer_call(self) -> None:
+    def offer_call(self, pause_ms: float = 0.0) -> None:
+        """Offer a call in an iteration in which the process was paused before."""
         expires_ms = self.now_ms + CALL_MS
         call = CallRecord(ID, "low", "7f3a", -1, False, expires_ms, b"v=0 offer", "caller")
         self.scheduler.begin_iteration()
+        self.now_ms += pause_ms
         self.exchange.offer(call)
 
     async def until_sent_again(self) -> None:
--- a/tests/test_race_conditions_servers.py
+++ b/tests/test_race_conditions_servers.py
@@ -12,7 +12,7 @@
 import pytest
 from exchange_replay import Replay
 from race_conditions import ID, WAIT_S, run_coroutine, set_up
-from server_side import ServerSide
+from server_side import CALL_MS, ServerSide
 
 from canvasplank import interface as api
 from canvasplank.codecs import sip
@@ -147,3 +147,22 @@
             rig.close()
 
     assert run_coroutine(run()) == 1
+
+
+def test_the_deadline_sent_is_the_remaining_time_after_a_pause_in_the_iteration(monkeypatch):
+    """A server was sent the time that remained when the iteration began, and may have worked for too long."""
+    pause_ms = 400.0
+
+    async def run() -> bytes:
+        rig = ServerSide(monkeypatch)
+        try:
+            await rig.start()
+            rig.offer_call(pause_ms)
+            await rig.step(0.0)
+            peer = rig.peers[rig.first_server]
+            return await asyncio.get_running_loop().run_in_executor(None, peer.recv, 65536)
+        finally:
+            rig.close()
+
+    received = run_coroutine(run())
+    assert int(re.search(rb"X-Deadline: (\d+)", received)[1]) <= CALL_MS - pause_ms
