A release written after a pause in the iteration counts as sent then, and is sent again

Callers: none seen; a release written to a connection as that ended could be lost, and the call stay established at the other side.

Cause: a release was stamped with the iteration's reading of the clock. One written after a pause of a second looked a second old, and what is a second old counts as read and is not sent again.

Change: it is stamped as it is written, towards servers and callers.

--- a/canvasplank/network/caller_stream.py
+++ b/canvasplank/network/caller_stream.py
@@ -112,7 +112,7 @@
 
     def send_release(self, call_id: str, cause: int) -> None:
         """Write the release of an established call, by its Q.850 cause."""
-        self.unconfirmed.add(call_id, cause, self.scheduler.now_ms)
+        self.unconfirmed.add(call_id, cause, self.scheduler.read_clock())
         self.write(isup.release(call_id, cause))
         self.established.discard(call_id)
         self.close_if_quiesced()
--- a/canvasplank/network/server_stream.py
+++ b/canvasplank/network/server_stream.py
@@ -181,7 +181,7 @@
     def send_release(self, call_id: str, cause: int, on_sent: Callable[[], None] | None = None) -> None:
         """Write a BYE with its Q.850 cause (RFC 3326); ``on_sent``: see ``call_when_sent``."""
         self._owner.exchange.counters.add("sent.releases_to_servers")
-        self.unconfirmed.add(call_id, cause, self.scheduler.now_ms)
+        self.unconfirmed.add(call_id, cause, self.scheduler.read_clock())
         self.write(sip.request("BYE", "call", call_id, 1, {"Reason": f"Q.850;cause={cause}"}))
         if on_sent is not None:
             self.call_when_sent(on_sent)
--- a/tests/test_race_conditions_servers.py
+++ b/tests/test_race_conditions_servers.py
@@ -21,6 +21,7 @@
 from canvasplank.counters import Counters
 from canvasplank.exchange.call_records import CallRecord
 from canvasplank.exchange.exchange import Exchange
+from canvasplank.network.release_retransmission import CONFIRMATION_WINDOW_MS
 from canvasplank.network.servers import Servers
 from canvasplank.network.stream import BufferBudget
 from canvasplank.runtime.scheduler import Scheduler, TimerQueue
@@ -166,3 +167,29 @@
 
     received = run_coroutine(run())
     assert int(re.search(rb"X-Deadline: (\d+)", received)[1]) <= CALL_MS - pause_ms
+
+
+def test_a_release_sent_after_a_pause_in_the_iteration_is_sent_again(monkeypatch):
+    """It was stamped with the iteration's start, and taken for one that had been read long ago."""
+
+    async def run() -> dict[str, object]:
+        rig = ServerSide(monkeypatch)
+        try:
+            await rig.start()
+            peer = rig.servers._peers["s-a"]
+            rig.scheduler.begin_iteration()
+            rig.now_ms += 2 * CONFIRMATION_WINDOW_MS
+            peer.send_release(ID, 16)
+            await rig.step(0.0)
+            rig.peers["s-a"].sendall(sip.request("OPTIONS", "load", ID, 1))
+            answer = await asyncio.get_running_loop().run_in_executor(None, rig.peers["s-a"].recv, 65536)
+            assert b"BYE" in answer
+            await rig.step(0.0)
+            peer.connect_after_ms = float("inf")
+            peer.current.abort()
+            await rig.step(0.0)
+            return peer.pending_releases
+        finally:
+            rig.close()
+
+    assert list(run_coroutine(run())) == [ID]
