--- a/canvasplank/network/caller_stream.py
+++ b/canvasplank/network/caller_stream.py
@@ -138,8 +138,8 @@
     def is_unused(self) -> bool:
         """Whether no set-up is open here, and no call that was answered here is established.
 
-        Late in a drain, established calls do not keep a connection on which new set-ups still come: their
-        releases can be sent on any other.
+        Late in a drain, a connection on which new set-ups still come is unused in spite of established calls:
+        their releases can be sent on any other.
         """
         if self.open_set_ups:
             return False
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -83,7 +83,7 @@
         """Shut down, with all answered: end every connection, and read on for what crosses that.
 
         Otherwise a set-up could be written to a connection which nobody reads any more while the process
-        winds down, and which is then closed without an answer: found on an upgrade day.
+        winds down, and which is then closed without an answer.
         """
         self._pool.close_writing()
 
--- a/canvasplank/network/server_connections.py
+++ b/canvasplank/network/server_connections.py
@@ -186,9 +186,8 @@
             self._connect_if_listed(peer)
             is_up = peer.current is not None and peer.current.is_open
             if not is_up and self._scheduler.now_ms - peer.last_received_ms > UNREACHABLE_MS:
-                # Calls over a cut link end some seconds into the cut (found on a day with a cut-off
-                # district), and the server can notify nobody before it is over.  A call that is established
-                # after all is released once a connection is up.
+                # Calls over a cut link end some seconds into the cut, and the server can notify nobody before
+                # it is over.  A call that is established after all is released once a connection is up.
                 self.exchange.process_ended(peer.server_id, float("inf"), notify_server=True)
             self._close_superseded(peer)
         self._schedule_check()
