A pending release that something waits for is not replaced by one that nothing does

Read in the change, seen nowhere: a second release of a call for the same unreachable server would have dropped what waits for the first, and its attempt would have ended by its time-out only. Also a comment's place in the SIP codec. The tests of the release wait, the servers' races, the codecs and the exchange pass.

--- a/canvasplank/codecs/sip.py
+++ b/canvasplank/codecs/sip.py
@@ -22,11 +22,8 @@
 _CAUSE = re.compile(r"[0-9]{1,3}")
 _BRANCH = re.compile(r";\s*branch\s*=\s*([^;\s]+)", re.IGNORECASE)
 _BRANCH_COOKIE = "z9hG4bK"  # every branch begins with it (RFC 3261 8.1.1.7)
-_INVITE_METHODS = (
-    "INVITE",
-    "CANCEL",
-    "ACK",
-)  # they share the branch of their INVITE (RFC 3261 9.1, 17.1.1.3)
+# They share the branch of their INVITE (RFC 3261 9.1, 17.1.1.3).
+_INVITE_METHODS = ("INVITE", "CANCEL", "ACK")
 
 
 @dataclass(frozen=True, slots=True)
--- a/canvasplank/network/server_stream.py
+++ b/canvasplank/network/server_stream.py
@@ -75,6 +75,8 @@
         """Write a release to the current connection, or store it for the next."""
         if self.current is not None and self.current.is_open:
             self.current.send_release(call_id, cause, on_sent)
+        elif on_sent is None and call_id in self.pending_releases:
+            pass  # one is enough, and something may wait for it
         elif len(self.pending_releases) < MAX_PENDING_RELEASES:
             self.pending_releases[call_id] = PendingRelease(cause, on_sent)
         elif on_sent is not None:
