--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -60,3 +62,21 @@
 
 def test_every_entry_of_the_project_can_be_read():
     read_known_failures(ROOT / "KNOWN-RED.txt")
+
+
+def test_the_command_of_ci_collects_the_tests():
+    """pytest takes a value that stands apart for a path, and then does not know the option."""
+    command = next(
+        line
+        for line in (ROOT / ".ci" / "run").read_text().splitlines()
+        if line.startswith("python -m pytest")
+    )
+    collected = subprocess.run(
+        [sys.executable, *command.split()[1:], "--collect-only", "-q", "-p", "no:cacheprovider"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert collected.returncode == 0, collected.stdout + collected.stderr
+    assert "tests/test_known_red.py::test_only_the_named_test_is_passed_over" in collected.stdout
