A stopped proxy completes its request to the fleet's store before it leaves

With fleet-wide budgets on, the share of a proxy that was stopped during a request lay idle for a lease: the others had less than they could have used.

Cause: close() cancelled the request in flight and sent the departure over the same connection. Interrupted at BEGIN, PostgreSQL's connection stays in a transaction that nobody ends; on SQLite the worker thread is busy and refuses the departure. After a failed request no departure was tried at all.

The loop now ends by itself: it completes its request or stops its pause, and the departure follows on a connection in a known state, or on a new one.

--- a/canvasplank/fleet/lease_renewer.py
+++ b/canvasplank/fleet/lease_renewer.py
@@ -72,6 +72,7 @@
         self._sees_discovery = sees_discovery
         self._on_others_see_discovery = on_others_see_discovery
         self._task: asyncio.Task[None] | None = None
+        self._closing = asyncio.Event()
 
     # ------------------------------------------------------------------------------------ for the module
 
@@ -107,25 +108,33 @@
     async def close(self, within_s: float) -> None:
         """End the loop and leave the fleet, so that others get the share at once.
 
+        A request in flight is completed first: interrupted, it may leave an open transaction or a busy thread
+        behind, in which the departure would be lost, or a member that nobody knows of.
         A store that does not answer ``within_s`` is not waited for; nothing is raised.
         """
         if self._task is None:
             return
-        self._task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._task
-        if self.holder.incarnation is not None and self._connected:
-            now_ms = self._clock()
-            self.limiter.settle(now_ms)
-            request = self.holder.next_request(now_ms, {}, leaving=True)
-            self._reporter.log_shares()
-            await self._transact(request, within_s)
+        self._closing.set()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(within_s):
+                await self._task
+                if self.holder.incarnation is not None:
+                    await self._leave(within_s)
         await self._disconnect()
 
+    async def _leave(self, within_s: float) -> None:
+        now_ms = self._clock()
+        self.limiter.settle(now_ms)
+        request = self.holder.next_request(now_ms, {}, leaving=True)
+        self._reporter.log_shares()
+        await self._transact(request, within_s)
+
     async def _run(self) -> None:
-        while True:
+        while not self._closing.is_set():
             pause_ms = await self._renew()
-            await asyncio.sleep(pause_ms / MS)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause_ms / MS):
+                    await self._closing.wait()
 
     async def _renew(self) -> float:
         """Carry out one request; gives the pause until the next, in milliseconds."""
--- a/canvasplank/fleet/renewal_reporter.py
+++ b/canvasplank/fleet/renewal_reporter.py
@@ -100,6 +100,7 @@
             "fleet.removed",
             text=f"fleet: leases expired, members removed: {incarnations}",
             incarnations=incarnations,
+            at_ms=self._clock(),
         )
 
     def _log_share(self, budget: str, unleased_quota: int, share: int, until_ms: float) -> None:
--- /dev/null
+++ b/tests/test_fleet_departure.py
@@ -0,0 +1,134 @@
+"""A proxy that leaves the fleet gives its share back at once, whatever its last request was doing."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from canvasplank.counters import Counters
+from canvasplank.fleet.backend import Backend
+from canvasplank.fleet.budget_limiter import BudgetKind
+from canvasplank.fleet.config import Budget, Fleet
+from canvasplank.fleet.lease_renewer import LeaseRenewer
+from emulators.postgresql import PostgresqlEmulator
+
+WAIT_S = 20.0
+CLOSE_S = 2.0  # what a shutdown leaves to its extensions, about
+MAX_WAITS = 40  # for answers, in one request
+
+
+class Stepped:
+    """Awaits an operation, and sets an event when the operation waits for the given time, counted from 1."""
+
+    def __init__(self, operation, number, reached):
+        self._operation, self._number, self._reached = operation, number, reached
+
+    def __await__(self):
+        inner, waits = self._operation.__await__(), 0
+        resume, argument = inner.send, None
+        while True:
+            try:
+                waited_for = resume(argument)
+            except StopIteration as ended:
+                return ended.value
+            waits += 1
+            if waits == self._number:
+                self._reached.set()
+            try:
+                resume, argument = inner.send, (yield waited_for)
+            except BaseException as error:
+                resume, argument = inner.throw, error
+
+
+@contextlib.asynccontextmanager
+async def one_member(kind, folder):
+    """A renewer that has joined the fleet, its store's emulator where there is one, and another backend."""
+    store = None
+    if kind == "postgresql":
+        store = PostgresqlEmulator(folder)
+        await store.start()
+    budgets = [Budget("all", BudgetKind.SET_UPS, 80.0, reserve_fraction=0.2)]
+    location = {"path": str(folder / "fleet.db")} if store is None else {"dsn": store.dsn}
+    settings = Fleet(
+        max_members=8, budget=budgets, renew_ms=50.0, lease_ms=60_000.0, backend=kind, **location
+    )
+    renewer, reader = LeaseRenewer(settings, "a", 1, Counters()), settings.create_backend()
+    renewer.start()
+    async with asyncio.timeout(WAIT_S):
+        while renewer.holder.incarnation is None:
+            await asyncio.sleep(0.01)
+        await reader.open()
+    try:
+        yield renewer, reader, store
+    finally:
+        await reader.close()
+        if store is not None:
+            await store.stop()
+
+
+async def members(reader: Backend) -> list[str]:
+    return [member.name for member in (await reader.read_state()).members.values()]
+
+
+async def closes_in_a_request(kind, folder, number) -> bool:
+    """Close at the request's nth wait, and check that the member has left; False: it waits less often."""
+    async with one_member(kind, folder) as (renewer, reader, _):
+        assert await members(reader) == ["a"]
+        reached, answered = asyncio.Event(), asyncio.Event()
+        transact = renewer._backend.transact
+
+        async def stepped(request):
+            response = await Stepped(transact(request), number, reached)
+            answered.set()
+            return response
+
+        renewer._backend.transact = stepped
+        waits = [asyncio.ensure_future(event.wait()) for event in (reached, answered)]
+        async with asyncio.timeout(WAIT_S):
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+        renewer._backend.transact = transact
+        was_reached = reached.is_set()
+        await renewer.close(CLOSE_S)
+        assert await members(reader) == [], f"left amid a request, at its wait {number}"
+        return was_reached
+
+
+@pytest.mark.parametrize("kind", ["sqlite", "postgresql"])
+def test_a_proxy_that_is_stopped_amid_a_request_leaves_the_fleet(kind, tmp_path):
+    """Its share lay idle for a lease, since the interrupted request spoiled the connection."""
+    number = 1
+    while asyncio.run(closes_in_a_request(kind, folder_of(tmp_path, number), number)):
+        number += 1
+        assert number <= MAX_WAITS
+    assert number > 1, "a request waits at least once"
+
+
+def folder_of(tmp_path, number):
+    folder = tmp_path / str(number)
+    folder.mkdir()
+    return folder
+
+
+def test_a_proxy_that_is_stopped_after_a_failed_request_leaves_the_fleet(tmp_path):
+    """It left only where its connection to the store had outlived the last request."""
+
+    async def run():
+        async with one_member("postgresql", tmp_path) as (renewer, reader, store):
+            failed, on_failure = asyncio.Event(), renewer._on_failure
+
+            async def observed(reason):
+                await on_failure(reason)
+                failed.set()
+
+            renewer._on_failure = observed
+            store.faults.drop_before_commit = 1
+            async with asyncio.timeout(WAIT_S):
+                await failed.wait()
+            await renewer.close(CLOSE_S)
+            assert await members(reader) == []
+
+    asyncio.run(run())
