The endpoint cache completes a write in progress before the process ends

After a stop amid a write, a start while discovery was away used an older list: calls went to servers that had gone. The log said "is not written" at the end.

Cause: the worker thread refuses a second job, and close() did not wait for the first: later changes were refused, and with none the process ended amid the write.

Evidence: the new test holds a write in the thread while the writer closes; both cases failed before and pass with the change. close() waits for the write within the bound that it had.

--- a/canvasplank/endpoint_cache/writer.py
+++ b/canvasplank/endpoint_cache/writer.py
@@ -87,8 +87,10 @@
         self._failing = True
 
     async def close(self) -> None:
-        """Write unsaved changes, for at most ``FINAL_WRITE_TIMEOUT_S``."""
-        if self._endpoint_list.is_complete and self._endpoint_list.is_dirty:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(FINAL_WRITE_TIMEOUT_S):
+        """Complete a write in progress and write unsaved changes, for at most ``FINAL_WRITE_TIMEOUT_S``."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FINAL_WRITE_TIMEOUT_S):
+                if self._write_task is not None:
+                    await self._write_task
+                if self._endpoint_list.is_complete and self._endpoint_list.is_dirty:
                     await self._write()
--- a/tests/test_endpoint_cache.py
+++ b/tests/test_endpoint_cache.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import threading
 import time
 
 import pytest
@@ -152,6 +153,41 @@
     assert caplog.text.count("is not written to") == 1
 
 
+@pytest.mark.parametrize("changes_meanwhile", [True, False])
+def test_a_write_in_progress_at_the_end_is_completed_and_later_changes_are_written(
+    tmp_path, monkeypatch, caplog, changes_meanwhile
+):
+    """The thread refused the last write while an earlier one went on, and nothing waited for that."""
+    path = tmp_path / "servers.json"
+    started, goes_on = threading.Event(), threading.Event()
+
+    def slow(*arguments):
+        started.set()
+        goes_on.wait(WAIT_S)
+        cache_file.write_cached_list(*arguments)
+
+    monkeypatch.setattr(writer, "write_cached_list", slow)
+    monkeypatch.setattr(writer, "FINAL_WRITE_TIMEOUT_S", WAIT_S)
+
+    async def run():
+        endpoint_list = EndpointList([Endpoint("s-a", "10.0.0.1:1", "ready")], NOW)
+        scheduler = Scheduler(TimerQueue(), lambda: NOW)
+        made = writer.EndpointListWriter(str(path), endpoint_list, scheduler, lambda: None)
+        made.start()
+        await asyncio.to_thread(started.wait, WAIT_S)
+        if changes_meanwhile:
+            made.on_discovery_event(discovery_event(2, reset=False, b="ready"))
+        closing = asyncio.ensure_future(made.close())
+        await asyncio.sleep(0)
+        goes_on.set()
+        await closing
+
+    asyncio.run(run())
+    written = {endpoint.instance_id for endpoint in decode(path.read_bytes()).endpoints}
+    assert written == ({"s-a", "s-b"} if changes_meanwhile else {"s-a"})
+    assert "is not written to" not in caplog.text
+
+
 @pytest.mark.parametrize(
     ("text", "message"),
     [
