A server's release is confirmed once it is written to a caller

A call went on for its caller although its server had ended it, where no caller was connected at that moment and the process ended before one came: up to 3 s of a shutdown, in which the listener is closed.

Cause: the 200 to the BYE was written at once, and a server does not send a confirmed release to the process that comes next.

The 200 is now written together with the release to the caller.

--- a/canvasplank/exchange/exchange.py
+++ b/canvasplank/exchange/exchange.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 
 from canvasplank import interface as api
 from canvasplank.codecs.q850 import ReleaseCause
@@ -176,22 +176,34 @@
             self._attempts.end(call, outcome, details=details)
 
     def on_released_by_server(
-        self, server_id: str, call_id: str, cause: int, report: api.Report | None = None
+        self,
+        server_id: str,
+        call_id: str,
+        cause: int,
+        report: api.Report | None = None,
+        on_passed_on: Callable[[], None] = lambda: None,
     ) -> None:
-        """A server has ended an established call."""
+        """A server has ended an established call.
+
+        ``on_passed_on`` is called once no caller need be told of it any more.  Until then the server must not
+        take it for heard: its caller would never learn of it should this process end meanwhile.
+        """
         call = self._table.established.get(call_id)
         if call is not None:
             if call.established_server_id != server_id:
-                return  # the end of an attempt that was released there as unwanted
+                on_passed_on()  # the end of an attempt that was released there as unwanted
+                return
             self.counters.add("taken.ends")
-            self._callers.release(call.origin, call_id, cause)
+            self._callers.release(call.origin, call_id, cause, on_passed_on)
             outcome = api.Outcome.ENDED if cause == ReleaseCause.NORMAL_CLEARING else api.Outcome.RESET
             self._end_established(call, outcome, report)
         elif not self._table.has_ended(call_id) and call_id not in self._table.open:
             # After a restart of this program the caller still counts on the call.
             self.counters.add("taken.ends_unknown")
             self._table.remember_ended(call_id)
-            self._callers.release(None, call_id, cause)
+            self._callers.release(None, call_id, cause, on_passed_on)
+        elif not self._callers.wait_for_release(call_id, on_passed_on):
+            on_passed_on()
 
     def on_circuits_reported(self, server_id: str, free: float, circuits: float) -> None:
         """A server has reported its free circuits and all its circuits."""
--- a/canvasplank/exchange/ports.py
+++ b/canvasplank/exchange/ports.py
@@ -23,8 +23,23 @@
     ) -> None:
         """Send the answer that the call is refused or has failed."""
 
-    def release(self, origin: Hashable | None, call_id: str, cause: int) -> None:
-        """Send the release of an established call, on any connection; ``cause`` is a cause of Q.850."""
+    def release(
+        self,
+        origin: Hashable | None,
+        call_id: str,
+        cause: int,
+        on_sent: Callable[[], None] | None = None,
+    ) -> None:
+        """Send the release of an established call, on any connection; ``cause`` is a cause of Q.850.
+
+        ``on_sent`` is called once it is written to a connection, which may be a later one, or none.
+        """
+
+    def wait_for_release(self, call_id: str, on_sent: Callable[[], None]) -> bool:
+        """Call this, instead of what waited before, once a release that has no connection yet is written.
+
+        False: no release of this call waits for a connection, and ``on_sent`` is not called.
+        """
 
     def remove_call(self, origin: Hashable, call_id: str) -> None:
         """Send nothing more of it there: its caller abandoned or released it, or sent it again elsewhere."""
--- a/canvasplank/network/caller_releases.py
+++ b/canvasplank/network/caller_releases.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from canvasplank.counters import Counters
 from canvasplank.network.caller_pool import CallerPool
 from canvasplank.network.caller_stream import CallerStream
-from canvasplank.network.release_retransmission import CONFIRMATION_WINDOW_MS
+from canvasplank.network.release_retransmission import CONFIRMATION_WINDOW_MS, PendingRelease
 from canvasplank.runtime.scheduler import Scheduler
 
 MAX_PENDING_RELEASES = 20_000  # that wait for a connection
@@ -18,19 +20,35 @@
 
     def __init__(self, scheduler: Scheduler, counters: Counters, pool: CallerPool) -> None:
         self._scheduler, self._counters, self._pool = scheduler, counters, pool
-        self._pending: dict[str, int] = {}  # causes of those that wait for a connection
+        self._pending: dict[str, PendingRelease] = {}  # those that wait for a connection, by call
+
+    def send(
+        self,
+        stream: CallerStream | None,
+        call_id: str,
+        cause: int,
+        on_sent: Callable[[], None] | None = None,
+    ) -> None:
+        """Send here where it can be written to, else on the newest that carries calls, or later.
 
-    def send(self, stream: CallerStream | None, call_id: str, cause: int) -> None:
-        """Send here where it can be written to, else on the newest that carries calls, or later."""
+        ``on_sent`` is called once it is written to a connection.
+        """
         if stream is None or not stream.is_open or stream.half_closed:
             stream = self._pool.newest(carrying_calls=True)
         if stream is not None:
-            self._counters.add("sent.releases_to_callers")
-            stream.send_release(call_id, cause)
+            self._send_on(stream, call_id, PendingRelease(cause, on_sent))
         elif len(self._pending) < MAX_PENDING_RELEASES:
-            self._pending[call_id] = cause
+            self._pending[call_id] = PendingRelease(cause, on_sent)
             self._send_pending_later()
 
+    def wait_for_release(self, call_id: str, on_sent: Callable[[], None]) -> bool:
+        """Call this instead of what waits for a pending release; False: none is pending."""
+        pending = self._pending.get(call_id)
+        if pending is None:
+            return False
+        self._pending[call_id] = PendingRelease(pending.cause, on_sent)
+        return True
+
     def on_connected(self) -> None:
         """A connection is up: pending releases go there unless one that carries calls comes first."""
         if self._pending:
@@ -39,9 +57,8 @@
     def send_pending(self, stream: CallerStream) -> None:
         """Write all that have waited for a connection."""
         pending, self._pending = self._pending, {}
-        for call_id, cause in pending.items():
-            self._counters.add("sent.releases_to_callers")
-            stream.send_release(call_id, cause)
+        for call_id, release in pending.items():
+            self._send_on(stream, call_id, release)
 
     def resend_unconfirmed(self, stream: CallerStream) -> None:
         """Send again what may have crossed the caller's end of this connection."""
@@ -49,6 +66,12 @@
         for call_id, cause in stream.unconfirmed.take_sent_after(since_ms):
             self.send(None, call_id, cause)
 
+    def _send_on(self, stream: CallerStream, call_id: str, release: PendingRelease) -> None:
+        self._counters.add("sent.releases_to_callers")
+        stream.send_release(call_id, release.cause)
+        if release.on_sent is not None:
+            release.on_sent()
+
     def _send_pending_later(self) -> None:
         self._scheduler.call_later(PENDING_RELEASE_DELAY_MS, self._send_pending_on_any)
 
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -123,12 +123,22 @@
         rejection = isup.release(call_id, REJECTION_CAUSES[final], retry_after_ms)
         cast(CallerStream, origin).send_final_answer(call_id, rejection)
 
-    def release(self, origin: Hashable | None, call_id: str, cause: int) -> None:
+    def release(
+        self,
+        origin: Hashable | None,
+        call_id: str,
+        cause: int,
+        on_sent: Callable[[], None] | None = None,
+    ) -> None:
         """See ``CallerSide``; no connection owns an established call: any will do, or the next."""
         stream = cast("CallerStream | None", origin)
         if stream is not None:
             stream.established.discard(call_id)
-        self.releases.send(stream, call_id, cause)
+        self.releases.send(stream, call_id, cause, on_sent)
+
+    def wait_for_release(self, call_id: str, on_sent: Callable[[], None]) -> bool:
+        """See ``CallerSide``."""
+        return self.releases.wait_for_release(call_id, on_sent)
 
     def remove_call(self, origin: Hashable, call_id: str) -> None:
         """See ``CallerSide``."""
--- a/canvasplank/network/release_retransmission.py
+++ b/canvasplank/network/release_retransmission.py
@@ -6,12 +6,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 MAX_UNCONFIRMED_RELEASES = 1000  # of one connection; past it the oldest counts as confirmed
 CONFIRMATION_WINDOW_MS = 1000.0  # a release this old has been read, whether or not the peer confirms any
 
 
+class PendingRelease(NamedTuple):
+    """A release that waits for a connection."""
+
+    cause: int
+    on_sent: Callable[[], None] | None = None  # called once it has left, or nothing need wait for it
+
+
 class SentRelease(NamedTuple):
     """One release on its way: its cause (Q.850) and when it was written."""
 
--- a/canvasplank/network/server_stream.py
+++ b/canvasplank/network/server_stream.py
@@ -15,7 +15,11 @@
 from canvasplank.exchange.exchange import Exchange
 from canvasplank.network.connection_attempt import ConnectionAttempt
 from canvasplank.network.reconnect_backoff import ReconnectBackoff
-from canvasplank.network.release_retransmission import CONFIRMATION_WINDOW_MS, UnconfirmedReleases
+from canvasplank.network.release_retransmission import (
+    CONFIRMATION_WINDOW_MS,
+    PendingRelease,
+    UnconfirmedReleases,
+)
 from canvasplank.network.stream import BufferBudget, Stream
 
 SILENCE_TIMEOUT_MS = 2500.0  # a server that reports its circuits and is silent for so long may be cut off
@@ -32,13 +36,6 @@
     until_ms: float  # the deadline of its attempt
 
 
-class PendingRelease(NamedTuple):
-    """A release that waits for a connection."""
-
-    cause: int
-    on_sent: Callable[[], None] | None = None  # called once it has left, or cannot
-
-
 class ServerStreamOwner(Protocol):
     """What holds the connections and acts on their events: see ``ServerConnections``."""
 
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -151,13 +151,18 @@
                 stream.write(sip.response(OK, "OK", message))
 
     def _on_release(self, stream: ServerStream, message: sip.Message) -> None:
-        stream.write(sip.response(OK, "OK", message))
+        """Pass it on, and confirm it then: a server sends what nobody has confirmed to the next process."""
+        response = sip.response(OK, "OK", message)
         stream.peer.remove_established(message.call_id)
-        # An id that is no call's must reach neither the callers nor the exchange's memory of ended calls.
-        if CALL_ID.fullmatch(message.call_id):
-            cause = ReleaseCause.NORMAL_CLEARING if message.cause is None else message.cause
-            report = self._load_reports.report(parse_gauges(message))
-            self.exchange.on_released_by_server(stream.peer.server_id, message.call_id, cause, report)
+        if not CALL_ID.fullmatch(message.call_id):
+            # An id that is no call's must reach neither the callers nor the exchange's memory of ended calls.
+            stream.write(response)
+            return
+        cause = ReleaseCause.NORMAL_CLEARING if message.cause is None else message.cause
+        report = self._load_reports.report(parse_gauges(message))
+        self.exchange.on_released_by_server(
+            stream.peer.server_id, message.call_id, cause, report, lambda: stream.write(response)
+        )
 
     def _on_response(self, stream: ServerStream, message: sip.Message) -> None:
         if message.method == "BYE":
--- a/tests/server_side.py
+++ b/tests/server_side.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 from collections.abc import AsyncIterator
 
@@ -45,6 +46,9 @@
 
     def release(self, *_) -> None: ...
 
+    def wait_for_release(self, *_) -> bool:
+        return False
+
     def remove_call(self, *_) -> None: ...
 
 
@@ -156,6 +160,10 @@
                 await self.step()
         assert stream.unsent
 
+    def peers_have_data(self, name: str) -> bool:
+        """Whether a server has been sent anything that it has not read."""
+        return bool(select.select([self.peers[name]], [], [], 0.0)[0])
+
     def close(self) -> None:
         for each in [*self.listeners.values(), *self.peers.values()]:
             each.close()
