A release without a connection of its own goes where releases are confirmed

Cause: where the connection of its set-up had ended, the release went to the newest connection that carried calls. In a crowd that is a client that reads nothing or knows of no other's calls, and a release a second old counted as read.

It now goes first where the last release was confirmed, and again on another connection when nobody confirms it within 250 ms, up to three in all; what goes on the connection of its set-up is sent once, as before. The tests of both halves failed before.

--- a/canvasplank/network/caller_pool.py
+++ b/canvasplank/network/caller_pool.py
@@ -47,14 +47,26 @@
         """Take out one that has ended."""
         self.streams.pop(stream, None)
 
-    def newest(self, *, carrying_calls: bool) -> CallerStream | None:
-        """The newest connection that can be written to, the least likely to be closed now.
+    def best_for_release(
+        self, *, carrying_calls: bool, other_than: CallerStream | None = None
+    ) -> CallerStream | None:
+        """A connection that can be written to: by what became of the last release there, then the newest.
+
+        The newest is the least likely to be closed now, but its peer may not read, or know nothing of calls
+        that were set up on other connections.
 
         ``carrying_calls``: only among those that have carried calls.  Whoever only tests this proxy knows
         nothing of calls, and must not be sent a release.
         """
-        usable = (s for s in reversed(self.streams) if s.is_open and not s.half_closed)
-        return next((s for s in usable if s.carries_calls or not carrying_calls), None)
+        usable = [
+            stream
+            for stream in reversed(self.streams)
+            if stream.is_open
+            and not stream.half_closed
+            and stream is not other_than
+            and (stream.carries_calls or not carrying_calls)
+        ]
+        return max(usable, key=lambda stream: stream.last_release, default=None)
 
     def quiesce(self) -> None:
         """Send callers away: each connection is closed once it carries nothing, from now on."""
--- a/canvasplank/network/caller_releases.py
+++ b/canvasplank/network/caller_releases.py
@@ -7,12 +7,22 @@
 from canvasplank.counters import Counters
 from canvasplank.network.caller_pool import CallerPool
 from canvasplank.network.caller_stream import CallerStream
-from canvasplank.network.release_retransmission import CONFIRMATION_WINDOW_MS, PendingRelease
+from canvasplank.network.release_retransmission import (
+    CONFIRMATION_WINDOW_MS,
+    PendingRelease,
+    ReleaseHandling,
+    SentRelease,
+)
 from canvasplank.runtime.scheduler import Scheduler
 
 MAX_PENDING_RELEASES = 20_000  # that wait for a connection
 # For so long a pending release waits for a connection that carries calls; then any will do.
 PENDING_RELEASE_DELAY_MS = 500.0
+# One that went on another connection than its call's, and that nobody confirms, is sent again on a third.
+RETRY_DELAY_MS = 250.0
+RETRY_CHECK_INTERVAL_MS = 50.0
+MAX_FOREIGN_SENDS = 3
+MAX_RETRY_AGE_MS = 8000.0  # for so long an unconfirmed release waits for another connection
 
 
 class CallerReleases:
@@ -33,12 +43,13 @@
 
         ``on_sent`` is called once it is written to a connection.
         """
-        if stream is None or not stream.is_open or stream.half_closed:
-            stream = self._pool.newest(carrying_calls=True)
-        if stream is not None:
-            self._send_on(stream, call_id, PendingRelease(cause, on_sent))
+        release = PendingRelease(cause, on_sent)
+        if stream is not None and stream.is_open and not stream.half_closed:
+            self._send_on(stream, call_id, release)
+        elif (other := self._pool.best_for_release(carrying_calls=True)) is not None:
+            self._send_on(other, call_id, release, foreign_sends=1)
         elif len(self._pending) < MAX_PENDING_RELEASES:
-            self._pending[call_id] = PendingRelease(cause, on_sent)
+            self._pending[call_id] = release
             self._send_pending_later()
 
     def wait_for_release(self, call_id: str, on_sent: Callable[[], None]) -> bool:
@@ -58,7 +69,7 @@
         """Write all that have waited for a connection."""
         pending, self._pending = self._pending, {}
         for call_id, release in pending.items():
-            self._send_on(stream, call_id, release)
+            self._send_on(stream, call_id, release, foreign_sends=1)
 
     def resend_unconfirmed(self, stream: CallerStream) -> None:
         """Send again what may have crossed the caller's end of this connection."""
@@ -66,9 +77,30 @@
         for call_id, cause in stream.unconfirmed.take_sent_after(since_ms):
             self.send(None, call_id, cause)
 
-    def _send_on(self, stream: CallerStream, call_id: str, release: PendingRelease) -> None:
+    def retry_unconfirmed(self) -> None:
+        """Send again, periodically, what was not confirmed in time: the peer may not know the call."""
+        now_ms = self._scheduler.now_ms
+        for stream in list(self._pool.streams):
+            for call_id, release in list(stream.unconfirmed.items()):
+                is_due = RETRY_DELAY_MS <= now_ms - release.sent_ms < MAX_RETRY_AGE_MS
+                if is_due and 0 < release.foreign_sends < MAX_FOREIGN_SENDS:
+                    self._retry(stream, call_id, release)
+        self._scheduler.call_later(RETRY_CHECK_INTERVAL_MS, self.retry_unconfirmed)
+
+    def _retry(self, stream: CallerStream, call_id: str, release: SentRelease) -> None:
+        stream.last_release = ReleaseHandling.IGNORED
+        other = self._pool.best_for_release(carrying_calls=True, other_than=stream)
+        if other is None:
+            return
+        del stream.unconfirmed[call_id]
+        self._counters.add("sent.releases_again")
+        other.send_release(call_id, release.cause, release.foreign_sends + 1)
+
+    def _send_on(
+        self, stream: CallerStream, call_id: str, release: PendingRelease, foreign_sends: int = 0
+    ) -> None:
         self._counters.add("sent.releases_to_callers")
-        stream.send_release(call_id, release.cause)
+        stream.send_release(call_id, release.cause, foreign_sends)
         if release.on_sent is not None:
             release.on_sent()
 
@@ -76,6 +108,6 @@
         self._scheduler.call_later(PENDING_RELEASE_DELAY_MS, self._send_pending_on_any)
 
     def _send_pending_on_any(self) -> None:
-        stream = self._pool.newest(carrying_calls=False)
+        stream = self._pool.best_for_release(carrying_calls=False)
         if stream is not None:
             self.send_pending(stream)
--- a/canvasplank/network/caller_stream.py
+++ b/canvasplank/network/caller_stream.py
@@ -6,7 +6,7 @@
 
 from canvasplank.codecs import isup
 from canvasplank.exchange.exchange import Exchange
-from canvasplank.network.release_retransmission import UnconfirmedReleases
+from canvasplank.network.release_retransmission import ReleaseHandling, UnconfirmedReleases
 from canvasplank.network.stream import BufferBudget, Stream
 
 MESSAGE_TIMEOUT_MS = 2000.0  # for the first complete message, and for the rest of each that has started
@@ -63,6 +63,7 @@
         self.last_set_up_ms = -RECENT_SET_UP_MS  # when one last came
         self.carries_calls = False  # whether it has carried calls, and not only tests
         self.unconfirmed = UnconfirmedReleases()
+        self.last_release = ReleaseHandling.UNKNOWN
         self.established: set[str] = set()  # calls answered here: their releases are sent here
 
     def on_connected(self) -> None:
@@ -110,13 +111,18 @@
         """A message other than a test was read here."""
         self.carries_calls = True
 
-    def send_release(self, call_id: str, cause: int) -> None:
-        """Write the release of an established call, by its Q.850 cause."""
-        self.unconfirmed.add(call_id, cause, self.scheduler.read_clock())
+    def send_release(self, call_id: str, cause: int, foreign_sends: int = 0) -> None:
+        """Write the release of an established call, by its Q.850 cause; see ``SentRelease``."""
+        self.unconfirmed.add(call_id, cause, self.scheduler.read_clock(), foreign_sends)
         self.write(isup.release(call_id, cause))
         self.established.discard(call_id)
         self.close_if_quiesced()
 
+    def on_release_confirmed(self, call_id: str) -> None:
+        """The caller has read a release."""
+        self.last_release = ReleaseHandling.CONFIRMED
+        self.unconfirmed.pop(call_id, None)
+
     def send_final_answer(self, call_id: str, data: bytes) -> None:
         """Write the encoded final answer to a set-up."""
         self.write(data)
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -67,6 +67,7 @@
             self.exchange.scheduler, host, port, self._pool.max_accepts, lambda: CallerStream(self)
         )
         self._pool.close_idle_connections()
+        self.releases.retry_unconfirmed()
 
     def limit(self, sockets: int) -> None:
         """Take a new limit of the program's sockets."""
@@ -172,7 +173,7 @@
                 self.exchange.on_released_by_caller(message.call_id, message.cause)
                 stream.write(isup.release_confirmed(message.call_id))
             case isup.Kind.RELEASE_CONFIRMED:
-                stream.unconfirmed.pop(message.call_id, None)
+                stream.on_release_confirmed(message.call_id)
             case isup.Kind.TEST:
                 stream.write(isup.test_result(message.call_id, self.takes_callers))
             case isup.Kind.PROGRESS:
--- a/canvasplank/network/release_retransmission.py
+++ b/canvasplank/network/release_retransmission.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -20,19 +21,28 @@
     on_sent: Callable[[], None] | None = None  # called once it has left, or nothing need wait for it
 
 
+class ReleaseHandling(enum.IntEnum):
+    """What became of the last release on a caller's connection; the greater, the better for the next one."""
+
+    IGNORED = 0  # it was not confirmed in time
+    UNKNOWN = 1
+    CONFIRMED = 2
+
+
 class SentRelease(NamedTuple):
     """One release on its way: its cause (Q.850) and when it was written."""
 
     cause: int
     sent_ms: float
+    foreign_sends: int = 0  # so often it was sent on another connection than that of its set-up
 
 
 class UnconfirmedReleases(dict[str, SentRelease]):
     """The unconfirmed releases of one connection by call, the oldest first; a confirmation pops its entry."""
 
-    def add(self, call_id: str, cause: int, now_ms: float) -> None:
+    def add(self, call_id: str, cause: int, now_ms: float, foreign_sends: int = 0) -> None:
         """Record a release that is being written; the oldest gives way past ``MAX_UNCONFIRMED_RELEASES``."""
-        self[call_id] = SentRelease(cause, now_ms)
+        self[call_id] = SentRelease(cause, now_ms, foreign_sends)
         if len(self) > MAX_UNCONFIRMED_RELEASES:
             del self[next(iter(self))]
 
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -73,8 +73,8 @@
         if peer is None:
             return False
         since_ms = self.scheduler.now_ms - CONFIRMATION_WINDOW_MS
-        sent = (sent_ms for stream in peer.streams for _, sent_ms in stream.unconfirmed.values())
-        return bool(peer.pending_releases) or any(sent_ms > since_ms for sent_ms in sent)
+        sent = (release for stream in peer.streams for release in stream.unconfirmed.values())
+        return bool(peer.pending_releases) or any(release.sent_ms > since_ms for release in sent)
 
     def disconnect(self) -> None:
         """Shut down: act on no message any more, and end every connection."""
--- a/tests/race_conditions.py
+++ b/tests/race_conditions.py
@@ -93,6 +93,12 @@
         self.scheduler.now_ms = self.now_ms
         self.callers._pool.close_idle_connections()
 
+    def let_pass(self, span_ms: float) -> None:
+        """Let this time pass, and send again what is due."""
+        self.now_ms += span_ms
+        self.scheduler.begin_iteration()
+        self.callers.releases.retry_unconfirmed()
+
     def for_room(self) -> None:
         self.callers.limit(1)
         self.callers._pool.make_room()
--- a/tests/test_releases_to_callers.py
+++ b/tests/test_releases_to_callers.py
@@ -10,9 +10,11 @@
 from server_side import ServerSide
 
 from canvasplank.codecs import isup, sip
+from canvasplank.network.caller_releases import MAX_FOREIGN_SENDS, RETRY_DELAY_MS
 
 SERVER = "s-a"
 OTHER_ID = "cc" * 8
+RELEASED = isup.release(ID, 16)
 
 
 async def calling_caller(caller_side: CallerSide, pending: bytes = b"") -> socket.socket:
@@ -88,3 +90,69 @@
             rig.close()
 
     run_coroutine(run())
+
+
+async def confirmed_release(caller_side: CallerSide, peer: socket.socket, call_id: str) -> None:
+    """Have a release sent to this connection, the only one, and confirmed there."""
+    caller_side.exchange.on_released_by_server(SERVER, call_id, 16)
+    release = isup.release(call_id, 16)
+    assert await received(peer, len(release)) == release
+    peer.sendall(isup.release_confirmed(call_id))
+    [stream] = caller_side.callers.streams
+    async with asyncio.timeout(WAIT_S):
+        while stream.unconfirmed:
+            await asyncio.sleep(0.005)
+
+
+def test_a_release_without_a_connection_of_its_own_goes_where_releases_are_confirmed():
+    """It went to the newest, whose caller read nothing, and knew nothing of calls on other connections."""
+
+    async def run() -> None:
+        caller_side = CallerSide()
+        caller_side.callers.listen("127.0.0.1", caller_side.port)
+        older = await calling_caller(caller_side)
+        await confirmed_release(caller_side, older, "dd" * 8)
+        newer = await calling_caller(caller_side)
+        caller_side.exchange.on_released_by_server(SERVER, ID, 16)
+        assert await received(older, len(RELEASED)) == RELEASED
+        older.close(), newer.close()
+        caller_side.callers.stop_listening()
+
+    run_coroutine(run())
+
+
+def test_a_release_that_nobody_confirms_is_sent_again_on_other_connections_a_few_times():
+    """It was taken for read after a second, while its caller waited on another connection."""
+
+    async def run() -> None:
+        caller_side = CallerSide()
+        caller_side.callers.listen("127.0.0.1", caller_side.port)
+        older, newer = await calling_caller(caller_side), await calling_caller(caller_side)
+        caller_side.exchange.on_released_by_server(SERVER, ID, 16)
+        assert await received(newer, len(RELEASED)) == RELEASED
+        caller_side.let_pass(RETRY_DELAY_MS - 1)
+        assert caller_side.exchange.counters["sent.releases_again"] == 0
+        for peer in [older, newer][: MAX_FOREIGN_SENDS - 1]:
+            caller_side.let_pass(RETRY_DELAY_MS)
+            assert await received(peer, len(RELEASED)) == RELEASED
+        caller_side.let_pass(RETRY_DELAY_MS)
+        assert caller_side.exchange.counters["sent.releases_again"] == MAX_FOREIGN_SENDS - 1
+        older.close(), newer.close()
+        caller_side.callers.stop_listening()
+
+    run_coroutine(run())
+
+
+def test_a_confirmed_release_is_not_sent_again():
+    async def run() -> None:
+        caller_side = CallerSide()
+        caller_side.callers.listen("127.0.0.1", caller_side.port)
+        first = await calling_caller(caller_side)
+        await confirmed_release(caller_side, first, ID)
+        second = await calling_caller(caller_side)
+        caller_side.let_pass(RETRY_DELAY_MS)
+        assert caller_side.exchange.counters["sent.releases_again"] == 0
+        first.close(), second.close()
+        caller_side.callers.stop_listening()
+
+    run_coroutine(run())
