Room for callers is made of the connections with the fewest established calls

Cause: past the limit, connections without an open set-up are closed, the longest unused first. Established calls did not count, and every client of a crowd that asks once and stays had used its connection since.

The new test failed before, the connection with the call being closed, and passes with the change.

--- a/canvasplank/network/caller_pool.py
+++ b/canvasplank/network/caller_pool.py
@@ -97,7 +97,8 @@
     def make_room(self) -> None:
         """Close connections past the limit, so that callers never take every descriptor.
 
-        Those without an open set-up go, first whoever has sent no message yet, then the longest unused; where
+        Those without an open set-up go: first whoever has sent no message yet, then those that carry the
+        fewest established calls, whose releases are best sent there, and of these the longest unused.  Where
         all are busy, the newest goes.  Those closed for writing are aborted past a number of their own.
         """
         open_streams = [s for s in self.streams if s.is_open]
@@ -110,7 +111,13 @@
         newest = open_streams.pop()
         grace_since_ms = self._scheduler.now_ms - FIRST_REQUEST_GRACE_MS
         idle = [s for s in open_streams if not s.open_set_ups]
-        idle.sort(key=lambda s: (s.has_received_message or s.last_used_ms > grace_since_ms, s.last_used_ms))
+        idle.sort(
+            key=lambda stream: (
+                stream.has_received_message or stream.last_used_ms > grace_since_ms,
+                len(stream.established),
+                stream.last_used_ms,
+            )
+        )
         for stream in (idle or [newest])[:excess]:
             self._counters.add("sockets.callers_closed_for_room")
             stream.close_writing()
--- a/tests/test_race_conditions_callers.py
+++ b/tests/test_race_conditions_callers.py
@@ -6,6 +6,7 @@
 import errno
 import socket
 from collections.abc import Callable
+from math import ceil
 from types import SimpleNamespace
 
 import pytest
@@ -24,7 +25,7 @@
 
 from canvasplank import interface as api
 from canvasplank.codecs import isup
-from canvasplank.network.caller_pool import DRAIN_OVERDUE_MS
+from canvasplank.network.caller_pool import DRAIN_OVERDUE_MS, FIRST_REQUEST_GRACE_MS, MAX_SOCKETS_FRACTION
 
 
 @pytest.fixture
@@ -262,3 +263,29 @@
         return ended, established
 
     assert run_coroutine(run()) == (late, 1)
+
+
+def test_room_is_made_of_connections_without_calls_first():
+    """A crowd's connections had been used since, so those that carried all the calls were closed."""
+
+    async def run() -> list[bool]:
+        caller_side = CallerSide()
+        caller_side.decide = lambda event: [api.SetUp(ID, "a", 9000)] if isinstance(event, api.Call) else []
+        caller_side.callers.listen("127.0.0.1", caller_side.port)
+        peers = [await caller_side.caller()]
+        peers[0].sendall(set_up())
+        async with asyncio.timeout(WAIT_S):
+            await caller_side.set_up_was_read()
+        caller_side.exchange.on_established("a", ID, 0, b"v=0 answer")
+        caller_side.now_ms += FIRST_REQUEST_GRACE_MS
+        peers += [await caller_side.caller() for _ in range(2)]
+        streams = list(caller_side.callers.streams)
+        caller_side.callers.limit(ceil(2 / MAX_SOCKETS_FRACTION))
+        caller_side.callers._pool.make_room()
+        still_open = [stream.is_open for stream in streams]
+        for peer in peers:
+            peer.close()
+        caller_side.callers.stop_listening()
+        return still_open
+
+    assert run_coroutine(run()) == [True, False, True]
