The soak draws silent callers up to the limit of connections

It had missed releases that are written to callers who read nothing: its crowd read all it was sent, and never reached the limit of connections (now 256 sockets a process). Four seeds in ten draw clients that come in waves, send one message and keep their connections. Drawn last, so what else a seed draws stays.

--- a/experiments/soak/deployment.py
+++ b/experiments/soak/deployment.py
@@ -19,6 +19,7 @@
 from experiments.soak.observed_link import ObservedLink, ServerObserver
 from experiments.soak.proxies import ProxyProcess, own_host
 from experiments.soak.scenario import CALLS_PER_S, LOAD_S, PROXIES, SERVERS, Disturbance, Kind, Scenario
+from experiments.soak.silent_callers import SilentCallers
 from verification.call_trace import CallTrace, Disturbed, Told
 
 MS_PER_S = 1000.0
@@ -28,6 +29,8 @@
 DRAIN_S = 4.8  # longer than a drained process may take
 SERVER_DRAIN_S = 2.0
 CROWD_CONNECTIONS, CROWD_CALLS_PER_S, CROWD_S = 80, 120.0, 1.0
+SILENT_CONNECTIONS = 20  # that come at a time, at each address: the limit of connections is reached in 2 s
+LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 256}
 DISCOVERY_LATE_S = 7.0  # a notification counts as received so late at the latest
 SETTLE_S = 6.0  # for calls that are open at the end of the load
 LAST_RELEASES_S = 1.5
@@ -98,6 +101,7 @@
         self._addresses = [f"{own_host()}:{free_port()}" for _ in range(PROXIES)]
         self._proxies: list[list[ProxyProcess]] = [[] for _ in range(PROXIES)]  # by address, the newest last
         self._callers = SoakCallers(scenario.seed, self.trace, self._admitted, self._is_serving)
+        self._silent_callers = SilentCallers(scenario.seed, self._admitted)
         self._tasks = Tasks()
         self._disturbances: list[asyncio.Task[None]] = []
 
@@ -112,6 +116,8 @@
         load = [self._callers.offer(CALLS_PER_S, LOAD_S)]
         if self._scenario.crowd_at_s is not None:
             load.append(self._crowd(self._scenario.crowd_at_s))
+        if self._scenario.silent_crowd_at_s is not None:
+            load.append(self._silent_crowd(self._scenario.silent_crowd_at_s))
         await asyncio.gather(*load)
         await asyncio.gather(*self._disturbances)
         await self._callers.settle(SETTLE_S)
@@ -136,6 +142,7 @@
 
     async def _finish(self) -> None:
         await self._callers.close()
+        self._silent_callers.close()
         await asyncio.sleep(IDLE_S)
         self.trace.ended_s = time.time()
         for server in self._servers:
@@ -206,6 +213,7 @@
             "seed": f"{1000 * self._scenario.seed + index:016x}",
             "board": self._discovery_address,
             "settings": self._settings,
+            "limits": LIMITS,
             "known": self._discovery.known(),
         }
 
@@ -235,6 +243,10 @@
         await asyncio.sleep(at_s)
         await self._callers.crowd(CROWD_CONNECTIONS, CROWD_CALLS_PER_S, CROWD_S)
 
+    async def _silent_crowd(self, at_s: float) -> None:
+        await asyncio.sleep(at_s)
+        await self._silent_callers.come(SILENT_CONNECTIONS, LOAD_S - at_s)
+
     async def _disturb(self, disturbance: Disturbance, start_s: float) -> None:
         await asyncio.sleep(max(0.0, start_s + disturbance.at_s - time.time()))
         await self._action(disturbance)()
--- a/experiments/soak/scenario.py
+++ b/experiments/soak/scenario.py
@@ -13,6 +13,7 @@
 MIN_DISTURBANCES, MAX_DISTURBANCES = 2, 4
 CALLS_PER_S = 30.0
 CROWD_PROBABILITY = 0.3
+SILENT_CROWD_PROBABILITY = 0.4
 
 
 class Kind(enum.Enum):
@@ -67,12 +68,15 @@
     seed: int
     disturbances: tuple[Disturbance, ...]
     crowd_at_s: float | None
+    silent_crowd_at_s: float | None
 
     def describe(self) -> str:
         """One line for a report."""
         parts = [f"{d.kind.value} {d.target} at {d.at_s:.1f} s" for d in self.disturbances]
         if self.crowd_at_s is not None:
             parts.append(f"crowd at {self.crowd_at_s:.1f} s")
+        if self.silent_crowd_at_s is not None:
+            parts.append(f"silent crowd from {self.silent_crowd_at_s:.1f} s on")
         return "; ".join(parts)
 
 
@@ -93,4 +97,5 @@
         disturbances.append(Disturbance(kind, rng.uniform(FIRST_S, LAST_S), rng.uniform(0.5, 2.5), target))
     disturbances.sort(key=lambda disturbance: disturbance.at_s)
     crowd_at_s = rng.uniform(FIRST_S, LAST_S) if rng.random() < CROWD_PROBABILITY else None
-    return Scenario(seed, tuple(disturbances), crowd_at_s)
+    silent_crowd_at_s = rng.uniform(FIRST_S, LAST_S) if rng.random() < SILENT_CROWD_PROBABILITY else None
+    return Scenario(seed, tuple(disturbances), crowd_at_s, silent_crowd_at_s)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 from experiments.soak.report import describe_failure, verdict
 from experiments.soak.scenario import PROCESS_KINDS, SERVER_KINDS, Kind, draw
 
-# Together they draw every kind of disturbance, and a crowd.
+# Together they draw every kind of disturbance, and both kinds of crowd.
 SEEDS = [2, 5, 7, 10, 11, 20, 22, 23]
 
 
@@ -25,6 +25,7 @@
     scenarios = [draw(seed) for seed in SEEDS]
     assert {each.kind for scenario in scenarios for each in scenario.disturbances} == set(Kind)
     assert any(scenario.crowd_at_s is not None for scenario in scenarios)
+    assert any(scenario.silent_crowd_at_s is not None for scenario in scenarios)
 
 
 def test_a_seed_draws_the_same_scenario_each_time_and_disturbs_nothing_twice():
