--- a/emulators/fleet.py
+++ b/emulators/fleet.py
@@ -143,17 +143,7 @@
         address = f"127.0.0.1:{free_port()}"
         path, log = self.folder / f"{name}.json", self.folder / f"{name}.log"
         path.write_text(json.dumps(self._configuration(name, address, seed)))
-        inherited = {k: v for k, v in os.environ.items() if not k.startswith(("EDGE_", "CANVASPLANK_"))}
-        with log.open("wb") as out:
-            process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "canvasplank",
-                cwd=ROOT,
-                stdout=out,
-                stderr=out,
-                env=inherited | {"EDGE_CONFIG": str(path)} | environment,
-            )
+        process = await start_program(path, log, **environment)
         if self.nice:
             os.setpriority(os.PRIO_PROCESS, process.pid, self.nice)
         proxy = Proxy(name, address, process, log)
@@ -171,6 +161,24 @@
             await server.stop()
 
 
+async def start_program(configuration: Path, log: Path, **environment: str) -> asyncio.subprocess.Process:
+    """Start the program by this configuration, with its output in ``log``.
+
+    Of this process's environment it gets all but the program's own variables, and ``environment`` beside it.
+    """
+    inherited = {k: v for k, v in os.environ.items() if not k.startswith(("EDGE_", "CANVASPLANK_"))}
+    with log.open("wb") as out:
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "canvasplank",
+            cwd=ROOT,
+            stdout=out,
+            stderr=out,
+            env=inherited | {"EDGE_CONFIG": str(configuration)} | environment,
+        )
+
+
 def service_settings(instances: int, servers: int, hold_ms: float) -> dict[str, Any]:
     """The platform settings of the example for a fleet of this size, each server in a pool of its own."""
     pools = list(range(servers))
--- a/experiments/soak/proxies.py
+++ b/experiments/soak/proxies.py
@@ -7,13 +7,12 @@
 import json
 import os
 import signal
-import sys
 import time
 from pathlib import Path
 from typing import Any
 
 from canvasplank.config.addresses import parse_address
-from emulators.fleet import ROOT, free_port
+from emulators.fleet import free_port, start_program
 from experiments.process_usage import open_descriptors, resident_mb
 from verification.call_trace import CallTrace, Drain, ProcessLife, Readiness
 
@@ -57,17 +56,7 @@
 
     async def start(self) -> None:
         """Start it; it is not awaited."""
-        inherited = {k: v for k, v in os.environ.items() if not k.startswith(("EDGE_", "CANVASPLANK_"))}
-        with self._log.open("wb") as out:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "canvasplank",
-                cwd=ROOT,
-                stdout=out,
-                stderr=out,
-                env=inherited | {"EDGE_CONFIG": str(self._configuration)},
-            )
+        self._process = await start_program(self._configuration, self._log)
 
     async def until_ready(self) -> None:
         """Wait until it has said that it is ready; raises ``TimeoutError``."""
