Ending a connection that its caller has just reset raises no error

A traceback in the log, 'Transport endpoint is not connected'; the connections still over the limit stayed open, and the new one was half registered, so that releases waiting for a connection did not go there.

Cause: transport.write_eof shuts the socket down at once and raises where the peer has reset it and the loop has not read that. Nothing caught it on the way through make_room and the arrival of the new connection.

--- a/canvasplank/network/stream.py
+++ b/canvasplank/network/stream.py
@@ -183,8 +183,12 @@
         """
         if self.transport is not None and self.is_open:
             self.writing_closed = True
-            self.transport.write_eof()
-            self.scheduler.call_later(LINGER_MS, self.transport.abort)
+            try:
+                self.transport.write_eof()
+            except OSError:  # the peer has reset it, which is not read yet
+                self.abort()
+            else:
+                self.scheduler.call_later(LINGER_MS, self.transport.abort)
 
     def abort(self) -> None:
         """End it at once, whatever is unsent."""
--- a/tests/test_race_conditions_callers.py
+++ b/tests/test_race_conditions_callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import socket
+import struct
 from collections.abc import Callable
 from math import ceil
 from types import SimpleNamespace
@@ -289,3 +290,25 @@
         return still_open
 
     assert run_coroutine(run()) == [True, False, True]
+
+
+def test_room_is_made_where_a_caller_has_reset_its_connection_meanwhile():
+    """Ending it raised an error through the new connection's arrival, which was left half registered."""
+
+    async def run() -> tuple[int, int]:
+        caller_side = CallerSide()
+        errors: list[dict[str, object]] = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: errors.append(context))
+        caller_side.callers.listen("127.0.0.1", caller_side.port)
+        reset, kept = await caller_side.caller(), await caller_side.caller()
+        reset.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        reset.close()  # the loop has not run since: nothing here knows of it
+        caller_side.callers.limit(1)
+        caller_side.callers._pool.make_room()
+        await asyncio.sleep(0.05)
+        remaining = len(caller_side.callers.streams)
+        kept.close()
+        caller_side.callers.stop_listening()
+        return remaining, len(errors)
+
+    assert run_coroutine(run()) == (1, 0)
