Tests: a stand-in for sent releases has their type

Two cases of a_server_stays_selected_while_a_release_to_it_is_unsettled gave bare pairs for the releases that a connection has sent, and failed with an AttributeError since such a release has a third field, which is read by name. They give SentRelease with the same values; what they assert is unchanged.

--- a/tests/test_rendezvous_subset.py
+++ b/tests/test_rendezvous_subset.py
@@ -18,6 +18,7 @@
 from canvasplank.cold_start.rendezvous_hashing import choose, max_sharers, rank
 from canvasplank.cold_start.rendezvous_subset import RendezvousSubset
 from canvasplank.config.discovery_events import Endpoint, to_server
+from canvasplank.network.release_retransmission import SentRelease
 from canvasplank.network.servers import Servers
 from emulators.callers import Callers
 from emulators.fleet import ROOT, fleet
@@ -221,8 +222,8 @@
     [
         ({}, {}, False),
         ({"call": 16}, {}, True),  # for a connection that is not up yet
-        ({}, {"call": (16, 9_500.0)}, True),  # sent half a second ago, and not confirmed
-        ({}, {"call": (16, 8_000.0)}, False),  # by a server that confirms none
+        ({}, {"call": SentRelease(16, 9_500.0)}, True),  # sent half a second ago, and not confirmed
+        ({}, {"call": SentRelease(16, 8_000.0)}, False),  # by a server that confirms none
     ],
 )
 def test_a_server_stays_selected_while_a_release_to_it_is_unsettled(pending, unconfirmed, unsettled):
