Emulated call server: releases as the protocol says, and messages that cannot be read

It sent an unconfirmed release on every connection that it took, for ever, which hid a release that went out on too few of them. It now sends one on the connection of the set-up, or else on one that is open, and on the next one that it takes as well, unless it is confirmed before.

--- a/emulators/server.py
+++ b/emulators/server.py
@@ -3,6 +3,9 @@
 A set-up costs ``1000 / capacity_per_s`` ms of processor time and queues for it. Once the queue's delay passes
 ``full_ms``, set-ups are rejected with 'processor full' (503), for a fifth of the work. One that was cancelled
 is dropped from the queue.
+
+Releases go out as the platform's protocol says: on the connection of the set-up, or else on any that is open,
+and on the next one opened as well.  Nothing is sent a third time, confirmed or not.
 """
 
 from __future__ import annotations
@@ -15,6 +18,7 @@
 
 from canvasplank.codecs import sip
 from emulators.tasks import Tasks
+from emulators.unreadable_messages import UnreadableKind, unreadable_message
 
 REJECTION_COST, RELEASE_COST = 0.2, 0.15  # of a set-up's work
 REPORT_INTERVAL_S = 0.5
@@ -46,6 +50,7 @@
     lines: int = 400
     speed: float = 1.0
     silent: bool = False  # reads and sends nothing
+    notices_end_after_s: float = 0.0  # until then it takes a connection that its peer has ended for open
     set_ups: int = 0
     connections: int = 0  # open now
     accepted: list[float] = field(
@@ -60,8 +65,10 @@
     _queue: deque[Job] = field(default_factory=deque)
     _job_queued: asyncio.Event = field(default_factory=asyncio.Event)
     _calls: dict[str, asyncio.Task[None]] = field(default_factory=dict)
+    released_at_s: dict[str, float] = field(default_factory=dict)  # first, by call, in Unix time
     _writers: list[asyncio.StreamWriter] = field(default_factory=list)  # open now, the newest last
-    _unconfirmed: dict[str, None] = field(default_factory=dict)  # calls whose release nobody has confirmed
+    # Calls whose release goes out on the next connection as well, unless it is confirmed before.
+    _to_release_again: dict[str, None] = field(default_factory=dict)
     _tasks: Tasks = field(default_factory=Tasks)
 
     async def start(self) -> None:
@@ -123,12 +130,18 @@
     async def _hold(self, writer: asyncio.StreamWriter, call_id: str) -> None:
         await asyncio.sleep(self.hold_ms / MS_PER_S)
         self._calls.pop(call_id, None)
-        self._unconfirmed[call_id] = None
         if writer not in self._writers and self._writers:
             writer = self._writers[-1]
+        self._to_release_again[call_id] = None
+        self.released_at_s[call_id] = time.time()
         self._release(writer, call_id)
         self._enqueue(Job(writer, None, RELEASE_COST))
 
+    def spoil(self, kind: UnreadableKind, *, newest: bool = True) -> None:
+        """Write a message that cannot be read to the newest open connection, or to the oldest."""
+        if self._writers:
+            self._send(self._writers[-1 if newest else 0], unreadable_message(kind, "0" * 16))
+
     def _release(self, writer: asyncio.StreamWriter, call_id: str) -> None:
         self._send(writer, sip.request("BYE", "caller", call_id, 2, {"Reason": "Q.850;cause=16"}))
 
@@ -138,12 +151,14 @@
         self.accepted.append(asyncio.get_running_loop().time())
         self._writers.append(writer)
         self._tasks.keep(self._report_load(writer))
-        for call_id in self._unconfirmed:  # what was sent on another connection may never have been read
+        released, self._to_release_again = self._to_release_again, {}
+        for call_id in released:  # what was sent on another connection may never have been read
             self._release(writer, call_id)
         with contextlib.suppress(OSError, asyncio.CancelledError):  # cancelled by ``stop``: no error to print
             while data := await reader.read(16_384):
                 for message in parser.feed(data):
                     self._on_message(writer, message)
+            await asyncio.sleep(self.notices_end_after_s)
         self.connections -= 1
         self._writers.remove(writer)
         writer.close()
@@ -168,7 +183,7 @@
                 else:
                     self._enqueue(Job(writer, message))
             case "BYE", 200:
-                self._unconfirmed.pop(message.call_id, None)
+                self._to_release_again.pop(message.call_id, None)
             case (("BYE" | "CANCEL"), 0):
                 self._cancelled.add(message.call_id)
                 if (call := self._calls.pop(message.call_id, None)) is not None:
