Releases behind a server's message that cannot be read reach their callers

Cause: the proxy ended such a connection at once. The server writes a release once, on the connection of the set-up while it takes that for open; it may follow the bad message, and with a false length it waits in the server's queue behind a megabyte of padding, which the server drops as it sees our end.

Such a connection is read on: open until nothing came for 0.1 s (0.4 s at most), then closed for writing until its server has ended it (2 s at most, then reset). Heads of releases are searched in that and in what was received before. Only the release of a call that is established at this very server counts, since the bytes may be part of another message. Set-ups that were open there are cancelled there, and an answer to one that comes after all is released. The next connection waits for none of it. What is left of a message that stops short is searched as its server ends the connection, and connections given up for unsent bytes are read on, too.

--- a/canvasplank/codecs/sip.py
+++ b/canvasplank/codecs/sip.py
@@ -103,6 +103,11 @@
         """Bytes of the incomplete message, but for its head once that is parsed."""
         return len(self._buffer)
 
+    @property
+    def unread(self) -> bytes:
+        """What was fed and is part of no message that was yielded, but for a head that was parsed."""
+        return bytes(self._buffer)
+
     def clear(self) -> None:
         """Discard the incomplete message."""
         self._buffer.clear()
@@ -118,7 +123,7 @@
             del self._buffer[: self._body_length]
             self._head = None
             if body:  # a wrong Content-Length shows in what follows
-                self._check_prefix()
+                self._check_prefix_behind(body)
             yield Message(head.method, head.status, head.headers, body)
 
     def _read_head(self) -> _Head | None:
@@ -130,18 +135,14 @@
             if len(self._buffer) > MAX_MESSAGE_BYTES:
                 raise BadMessageError(f"no end of the headers within {MAX_MESSAGE_BYTES} bytes")
             return None
-        try:
-            lines = self._buffer[:end].decode().split("\r\n")
-        except UnicodeDecodeError as error:
-            raise BadMessageError("headers are not UTF-8") from error
-        if _CONTROL.search(self._buffer, 0, end):
-            raise BadMessageError("headers hold control characters")
-        del self._buffer[: end + len(_HEAD_END)]
+        lines = _head_lines(bytes(self._buffer[:end]))
         headers = _parse_headers(lines[1:])
-        self._body_length = _content_length(headers)
-        if end + len(_HEAD_END) + self._body_length > MAX_MESSAGE_BYTES:
+        body_length = _content_length(headers)
+        if end + len(_HEAD_END) + body_length > MAX_MESSAGE_BYTES:
             raise BadMessageError(f"message of over {MAX_MESSAGE_BYTES} bytes")
-        self._head = _parse_start_line(lines[0], headers)
+        head = _parse_start_line(lines[0], headers)
+        del self._buffer[: end + len(_HEAD_END)]
+        self._head, self._body_length = head, body_length
         return self._head
 
     def _skip_blank_lines(self) -> None:
@@ -149,6 +150,13 @@
         while self._buffer.startswith(b"\r\n"):
             del self._buffer[:2]
 
+    def _check_prefix_behind(self, body: bytes) -> None:
+        try:
+            self._check_prefix()
+        except BadMessageError:
+            self._buffer[:0] = body  # it may be no body at all: see ``unread``
+            raise
+
     def _check_prefix(self) -> None:
         """Raise ``BadMessageError`` where the first bytes are no message's, instead of awaiting its end."""
         self._skip_blank_lines()
@@ -159,6 +167,23 @@
             raise BadMessageError(f"no message begins with {prefix!r}")
 
 
+def parse_head(data: bytes) -> Message:
+    """The message with this start line and these headers, without its body; raises ``BadMessageError``."""
+    lines = _head_lines(data)
+    head = _parse_start_line(lines[0], _parse_headers(lines[1:]))
+    return Message(head.method, head.status, head.headers, b"")
+
+
+def _head_lines(data: bytes) -> list[str]:
+    try:
+        lines = data.decode().split("\r\n")
+    except UnicodeDecodeError as error:
+        raise BadMessageError("headers are not UTF-8") from error
+    if _CONTROL.search(data):
+        raise BadMessageError("headers hold control characters")
+    return lines
+
+
 def _parse_headers(lines: list[str]) -> dict[str, str]:
     headers: dict[str, str] = {}
     for line in lines:
--- a/canvasplank/exchange/exchange.py
+++ b/canvasplank/exchange/exchange.py
@@ -214,6 +214,11 @@
         """A probe was answered, or was not."""
         self._dispatcher.dispatch(api.ProbeAnswered(server_id, answered, report))
 
+    def is_established_at(self, call_id: str, server_id: str) -> bool:
+        """Whether this call is established, and at this server."""
+        call = self._table.established.get(call_id)
+        return call is not None and call.established_server_id == server_id
+
     def has_calls_at(self, server_id: str) -> bool:
         """Whether a call is established at this server, or an attempt in flight there."""
         return self._table.has_calls_at(server_id)
--- /dev/null
+++ b/canvasplank/network/ended_connection.py
@@ -0,0 +1,157 @@
+"""Connections to call servers that the proxy has ended, read on for what is owed to the calls on them.
+
+A server writes the release of a call once, on the connection of the call's set-up, for as long as it takes
+that for open.  It may be behind a message that cannot be read, or written before the server notices our end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import fcntl
+import os
+import socket
+import struct
+import termios
+from collections.abc import Callable
+from typing import NamedTuple
+
+from canvasplank.codecs import sip
+from canvasplank.codecs.sip_recovery import MessageFinder
+from canvasplank.network.stream import LINGER_MS
+from canvasplank.runtime.scheduler import Scheduler
+
+QUIET_MS = 100.0  # a server that writes nothing for so long has written what it had queued
+MAX_OPEN_MS = 400.0  # until it is closed for writing: a server that sees that may drop what it has queued
+CHECK_INTERVAL_MS = 20.0
+MAX_READ_BYTES = 4 * 1024 * 1024  # of one connection
+READ_BYTES = 64 * 1024
+KEPT_FRACTION = 1 / 16  # of the configured sockets: how many may be read on at once
+DEFAULT_MAX_KEPT = 16  # until the number of sockets is given
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # the value of SO_LINGER: on, for no time
+
+
+class EndedStream(NamedTuple):
+    """A connection at its end: its socket, and what it leaves."""
+
+    connection: socket.socket
+    unread: bytes  # what was received and not understood
+    # Whether it is first read on without being closed for writing.
+    keep_open: bool
+    # Given each message that is found, and what writes a response as long as that is possible.
+    on_message: Callable[[sip.Message, Callable[[bytes], None]], None]
+
+
+class EndedConnection:
+    """Reads an ended connection until its server has ended it too, or for a bounded time.
+
+    All that is found behind its end are releases and positive answers: see ``MessageFinder``.
+    """
+
+    _buffer = bytearray(READ_BYTES)  # shared, since nothing stays in it between two reads
+
+    def __init__(
+        self, scheduler: Scheduler, stream: EndedStream, on_closed: Callable[[EndedConnection], None]
+    ) -> None:
+        """``on_closed`` is called once, when it has ended."""
+        self._scheduler = scheduler
+        self._connection = stream.connection
+        self._on_message = stream.on_message
+        self._on_closed = on_closed
+        self._finder = MessageFinder()
+        self._read_bytes = 0
+        self._started_ms = self._last_read_ms = scheduler.now_ms
+        self._writing_closed_ms: float | None = None
+        self._timer = scheduler.call_later(CHECK_INTERVAL_MS, self._check)
+        asyncio.get_running_loop().add_reader(self._connection, self._read)
+        if not stream.keep_open:
+            self._close_writing()
+        for message in self._finder.feed(stream.unread):
+            if message.method == "BYE":  # an answer may be the very message that could not be read
+                self._on_message(message, self._write)
+
+    def _read(self) -> None:
+        self._scheduler.begin_iteration()
+        try:
+            count = self._connection.recv_into(self._buffer)
+        except BlockingIOError:
+            return
+        except OSError:  # the server has reset it
+            count = 0
+        self._last_read_ms = self._scheduler.now_ms
+        self._read_bytes += count
+        for message in self._finder.feed(memoryview(self._buffer)[:count]):
+            self._on_message(message, self._write)
+        if not count or self._read_bytes > MAX_READ_BYTES:
+            self.close()
+
+    def _check(self) -> None:
+        now_ms = self._scheduler.now_ms
+        if self._writing_closed_ms is None:
+            is_quiet = now_ms - self._last_read_ms >= QUIET_MS
+            if is_quiet or now_ms - self._started_ms >= MAX_OPEN_MS:
+                self._close_writing()
+        elif now_ms - self._writing_closed_ms >= LINGER_MS:
+            reset_if_delivered(self._connection)
+            self.close()
+            return
+        self._timer = self._scheduler.call_later(CHECK_INTERVAL_MS, self._check)
+
+    def _write(self, data: bytes) -> None:
+        """Respond; what does not fit into the kernel's buffer is not sent."""
+        if self._writing_closed_ms is None:
+            with contextlib.suppress(OSError):
+                self._connection.send(data)
+
+    def _close_writing(self) -> None:
+        self._writing_closed_ms = self._scheduler.now_ms
+        with contextlib.suppress(OSError):  # the server has ended it already, which is read next
+            self._connection.shutdown(socket.SHUT_WR)
+
+    def close(self) -> None:
+        """Close it, whatever may still come."""
+        asyncio.get_running_loop().remove_reader(self._connection)
+        self._scheduler.timers.cancel(self._timer)
+        self._connection.close()
+        self._on_closed(self)
+
+
+class EndedConnections:
+    """Those that are read on, bounded in number."""
+
+    def __init__(self, scheduler: Scheduler) -> None:
+        self._scheduler = scheduler
+        self._max_kept = DEFAULT_MAX_KEPT
+        self._kept: dict[EndedConnection, None] = {}  # the oldest first
+
+    def limit(self, sockets: int) -> None:
+        """Take a new limit of the program's sockets."""
+        self._max_kept = max(1, int(KEPT_FRACTION * sockets))
+
+    def keep(self, stream: EndedStream) -> None:
+        """Read on; past the limit the oldest is closed."""
+        connection = EndedConnection(self._scheduler, stream, lambda each: self._kept.pop(each, None))
+        self._kept[connection] = None
+        while len(self._kept) > self._max_kept:
+            next(iter(self._kept)).close()
+
+    def close(self) -> None:
+        """Close all."""
+        for each in list(self._kept):
+            each.close()
+
+
+def duplicate(connection: socket.socket) -> socket.socket | None:
+    """The same connection under another descriptor; None: there is none left, or it is closed."""
+    try:
+        return socket.socket(fileno=os.dup(connection.fileno()))
+    except OSError:
+        return None
+
+
+def reset_if_delivered(connection: socket.socket) -> None:
+    """Have its close reset it, so that its server learns of it, unless bytes of ours would be lost."""
+    with contextlib.suppress(OSError):
+        unacknowledged = fcntl.ioctl(connection, termios.TIOCOUTQ, bytes(4))
+        if unacknowledged == bytes(4):
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
--- a/canvasplank/network/server_connections.py
+++ b/canvasplank/network/server_connections.py
@@ -10,6 +10,7 @@
 from canvasplank.codecs.q850 import ReleaseCause
 from canvasplank.config.platform_settings import ConnectionLimits
 from canvasplank.exchange.exchange import Exchange
+from canvasplank.network.ended_connection import EndedConnections, EndedStream
 from canvasplank.network.server_stream import MAX_SILENCE_TIMEOUT_MS, Peer, ServerStream
 from canvasplank.network.stream import BufferBudget
 
@@ -34,24 +35,39 @@
         resend_ms: float | None,
         budget: BufferBudget,
         on_message: Callable[[ServerStream, sip.Message], None],
+        on_message_after_end: Callable[[ServerStream, sip.Message, Callable[[bytes], None]], None],
     ) -> None:
-        """``on_message`` is given each message that is read, and raises ``BadMessageError``."""
+        """``on_message`` is given each message that is read, and raises ``BadMessageError``.
+
+        ``on_message_after_end`` is given those found behind an end: see ``ServerStreamOwner``.
+        """
         self.exchange = exchange
         self.budget = budget
         self.on_message = on_message
+        self.on_message_after_end = on_message_after_end
         self.disconnecting = False
         self.peers: dict[str, Peer] = {}  # by server id: the endpoint list, and who is gone and still speaks
         self._scheduler = exchange.scheduler
         self._limits = limits
         self._resend_ms = resend_ms or DEFAULT_RESEND_MS
+        self._ended = EndedConnections(exchange.scheduler)
         self._schedule_check()
 
+    def limit(self, sockets: int) -> None:
+        """Take a new limit of the program's sockets."""
+        self._ended.limit(sockets)
+
+    def read_on(self, ended: EndedStream) -> None:
+        """See ``ServerStreamOwner``."""
+        self._ended.keep(ended)
+
     def disconnect(self) -> None:
         """Shut down: act on nothing more, so that no release is confirmed that cannot be passed on.
 
         Connections are closed for writing and read on, so that what was sent last is not lost to a reset.
         """
         self.disconnecting = True
+        self._ended.close()
         for stream in [s for peer in self.peers.values() for s in peer.streams]:
             stream.close_writing()
 
@@ -101,7 +117,7 @@
                 del stream.waiting[call_id]
                 self._end_attempt(peer, call_id, waiting.attempt, api.Outcome.NO_CONNECTION)
             if stream.open_set_ups and stream.unsent:
-                stream.abort()
+                stream.abort_unread_set_ups()
 
     def on_connected(self, stream: ServerStream) -> None:
         """See ``ServerStreamOwner``."""
--- a/canvasplank/network/server_stream.py
+++ b/canvasplank/network/server_stream.py
@@ -11,9 +11,12 @@
 
 from canvasplank import interface as api
 from canvasplank.codecs import sip
+from canvasplank.codecs.errors import BadMessageError
+from canvasplank.codecs.sip_recovery import MessageFinder
 from canvasplank.exchange.call_records import CallRecord
 from canvasplank.exchange.exchange import Exchange
 from canvasplank.network.connection_attempt import ConnectionAttempt
+from canvasplank.network.ended_connection import EndedStream, duplicate, reset_if_delivered
 from canvasplank.network.reconnect_backoff import ReconnectBackoff
 from canvasplank.network.release_retransmission import (
     CONFIRMATION_WINDOW_MS,
@@ -50,6 +53,14 @@
     def on_disconnected(self, stream: ServerStream) -> None:
         """It has ended."""
 
+    def read_on(self, ended: EndedStream) -> None:
+        """It was ended by us, and may carry more."""
+
+    def on_message_after_end(
+        self, stream: ServerStream, message: sip.Message, write: Callable[[bytes], None]
+    ) -> None:
+        """A release or a positive answer was found behind its end; ``write`` responds if that is possible."""
+
 
 @dataclass(slots=True)
 class Peer:
@@ -107,18 +118,28 @@
         for call_id, cause in stream.unconfirmed.take_sent_after(since_ms):
             self.send_release(call_id, cause)
 
+    def has_attempt(self, call_id: str) -> bool:
+        """Whether a call is established there, or a set-up of it is on its way or waits for a connection."""
+        streams = [*self.streams, self.current] if self.current is not None else self.streams
+        return any(call_id in each for s in streams for each in (s.open_set_ups, s.waiting, s.established))
+
     def remove_established(self, call_id: str) -> None:
         """A call is established there no more."""
         for stream in self.streams:
             stream.established.discard(call_id)
 
 
+def _write_nowhere(data: bytes) -> None:
+    """Respond on a connection that has ended."""
+
+
 class ServerStream(Stream[sip.Message]):
     """One connection to a server, with the set-ups and calls that it carries."""
 
     def __init__(self, owner: ServerStreamOwner, peer: Peer) -> None:
         label = f"server {peer.server_id} {peer.address}"
-        super().__init__(owner.exchange.scheduler, label, sip.Parser(), owner.budget)
+        self._sip_parser = sip.Parser()
+        super().__init__(owner.exchange.scheduler, label, self._sip_parser, owner.budget)
         self._owner = owner
         self.peer = peer
         self.open_set_ups: dict[str, int] = {}  # attempt numbers of the set-ups sent here and unanswered
@@ -131,6 +152,10 @@
         self._report_count = 0
         self._used_since_replaced = False  # whether anything was read since another became the current one
         self._unanswered_since_ms: float | None = None  # the first set-up sent since anything was last read
+        self._bad_body = b""  # of a message that stopped short: what came after it is in there
+        self._is_read_on = False  # whether it is read on after its end: see ``ended_connection``
+        self._finder = MessageFinder()  # for what follows a bad message, where it is not
+        self.set_ups_at_end: frozenset[str] = frozenset()  # calls whose set-ups were open then
 
     def connect(self, timeout_ms: float, on_failed: Callable[[str], None]) -> None:
         """Start to connect to the peer's address; ``on_failed`` is given the reason."""
@@ -156,12 +181,83 @@
         self._used_since_replaced = True
         for message in self.messages(data):
             if not self._owner.disconnecting:
-                self._owner.on_message(self, message)
+                self._act_on(message)
+
+    def _act_on(self, message: sip.Message) -> None:
+        try:
+            self._owner.on_message(self, message)
+        except BadMessageError:
+            self._bad_body = message.body
+            raise
+
+    def on_unread(self, data: memoryview | bytes) -> None:
+        """See ``Stream``."""
+        for message in self._finder.feed(data):
+            if message.method == "BYE" and not self._owner.disconnecting:
+                self._owner.on_message_after_end(self, message, _write_nowhere)
 
     def on_disconnected(self, error: Exception | None) -> None:
         """See ``Stream``."""
+        if not self._is_read_on:  # its server has ended it, perhaps within a message
+            self.on_unread(self._sip_parser.unread)
         self._owner.on_disconnected(self)
 
+    def abort_unreadable(self, reason: str) -> None:
+        """See ``Stream``."""
+        unread = self._bad_body + self._sip_parser.unread
+        ended = self._prepare_to_read_on(unread, keep_open=self.is_open and not self.unsent)
+        super().abort_unreadable(reason)
+        if ended is None:
+            self.on_unread(unread)
+        else:
+            self._owner.read_on(ended)
+
+    def abort_unsent(self) -> None:
+        """See ``Stream``."""
+        ended = self._prepare_to_read_on(self._sip_parser.unread, keep_open=False)
+        super().abort_unsent()
+        if ended is not None:
+            self._owner.read_on(ended)
+
+    def abort_unread_set_ups(self) -> None:
+        """End it at once, since its server has not read the set-ups that were sent to it."""
+        ended = self._prepare_to_read_on(self._sip_parser.unread, keep_open=False)
+        self.abort()
+        if ended is not None:
+            self._owner.read_on(ended)
+
+    def abort_lingering(self) -> None:
+        """See ``Stream``."""
+        if self.transport is not None and not self.transport.is_closing():
+            reset_if_delivered(self.transport.get_extra_info("socket"))
+        super().abort_lingering()
+
+    def _prepare_to_read_on(self, unread: bytes, *, keep_open: bool) -> EndedStream | None:
+        """What is needed to read on after an end of ours that is about to come; None: it has ended already.
+
+        ``keep_open``: it is not closed for writing at once, so that its server writes on what it has queued.
+        """
+        if self.transport is None or self.transport.is_closing() or self._owner.disconnecting:
+            return None
+        connection = duplicate(self.transport.get_extra_info("socket"))
+        if connection is None:
+            return None
+        self._is_read_on = True
+        self.set_ups_at_end = frozenset(self.open_set_ups)
+        if keep_open:
+            for call_id, attempt in self.open_set_ups.items():
+                self.write(sip.request("CANCEL", "call", call_id, attempt + 1))
+        return EndedStream(
+            connection,
+            unread,
+            keep_open,
+            lambda message, write: self._owner.on_message_after_end(self, message, write),
+        )
+
+    def _shut_down_socket(self) -> None:
+        if not self._is_read_on:
+            super()._shut_down_socket()
+
     def send_set_up(self, waiting: WaitingSetUp) -> None:
         """Write an INVITE."""
         call, attempt = waiting.call, waiting.attempt
@@ -218,7 +314,8 @@
     def is_message_overdue(self, timeout_ms: float) -> bool:
         """Whether the rest of a message has not come in time: all that follows would be taken for it."""
         late = self.scheduler.now_ms - self.message_started_ms > timeout_ms
-        return self.is_open and late and self.parser.in_message
+        is_read = self.transport is not None and not self.transport.is_closing()
+        return is_read and late and self.parser.in_message
 
     def is_hung(self, timeout_ms: float) -> bool:
         """Whether nothing was read for so long since a set-up was sent on it."""
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -45,7 +45,9 @@
         self.scheduler = exchange.scheduler
         self._load_reports = load_reports
         self._limits = limits
-        self._connections = ServerConnections(exchange, limits, resend_ms, budget, self._on_message)
+        self._connections = ServerConnections(
+            exchange, limits, resend_ms, budget, self._on_message, self._on_message_after_end
+        )
         self._table = PeerTable(exchange, self._connections)
         self._peers = self._connections.peers
         self._probes: dict[str, str] = {}  # the server of each unanswered probe, by the probe's Call-ID
@@ -76,6 +78,10 @@
         sent = (release for stream in peer.streams for release in stream.unconfirmed.values())
         return bool(peer.pending_releases) or any(release.sent_ms > since_ms for release in sent)
 
+    def limit(self, sockets: int) -> None:
+        """Take a new limit of the program's sockets."""
+        self._connections.limit(sockets)
+
     def disconnect(self) -> None:
         """Shut down: act on no message any more, and end every connection."""
         self._connections.disconnect()
@@ -142,7 +148,7 @@
             return
         match message.method:
             case "BYE":
-                self._on_release(stream, message)
+                self._on_release(stream, message, stream.write)
             case "NOTIFY":
                 stream.on_circuits_reported()
                 if (circuits := self._load_reports.circuits(parse_gauges(message))) is not None:
@@ -150,18 +156,35 @@
             case "OPTIONS":
                 stream.write(sip.response(OK, "OK", message))
 
-    def _on_release(self, stream: ServerStream, message: sip.Message) -> None:
+    def _on_message_after_end(
+        self, stream: ServerStream, message: sip.Message, write: Callable[[bytes], None]
+    ) -> None:
+        """Act on what cannot be part of anything else: a call's own server may end it, and no other call.
+
+        An answer to a set-up that has ended with its connection established a call that nobody waits for.
+        """
+        peer, call_id = stream.peer, message.call_id
+        if message.method == "BYE" and not message.status:
+            if self.exchange.is_established_at(call_id, peer.server_id):
+                self.exchange.counters.add("taken.ends_behind_bad_messages")
+                self._on_release(stream, message, write)
+        elif (
+            message.method == "INVITE" and call_id in stream.set_ups_at_end and not peer.has_attempt(call_id)
+        ):
+            self.release(peer.server_id, call_id, ReleaseCause.NORMAL_UNSPECIFIED)
+
+    def _on_release(self, stream: ServerStream, message: sip.Message, write: Callable[[bytes], None]) -> None:
         """Pass it on, and confirm it then: a server sends what nobody has confirmed to the next process."""
         response = sip.response(OK, "OK", message)
         stream.peer.remove_established(message.call_id)
         if not CALL_ID.fullmatch(message.call_id):
             # An id that is no call's must reach neither the callers nor the exchange's memory of ended calls.
-            stream.write(response)
+            write(response)
             return
         cause = ReleaseCause.NORMAL_CLEARING if message.cause is None else message.cause
         report = self._load_reports.report(parse_gauges(message))
         self.exchange.on_released_by_server(
-            stream.peer.server_id, message.call_id, cause, report, lambda: stream.write(response)
+            stream.peer.server_id, message.call_id, cause, report, lambda: write(response)
         )
 
     def _on_response(self, stream: ServerStream, message: sip.Message) -> None:
--- a/canvasplank/network/stream.py
+++ b/canvasplank/network/stream.py
@@ -117,6 +117,9 @@
         """Bytes were read; raises ``BadMessageError`` for what the peer must not send."""
         raise NotImplementedError
 
+    def on_unread(self, data: memoryview | bytes) -> None:
+        """These bytes came behind a bad message on a connection that its peer has ended."""
+
     def on_disconnected(self, error: Exception | None) -> None:
         """The connection has ended."""
 
@@ -139,8 +142,7 @@
         self._written_bytes += len(data)
         self.budget.update(self, self.buffered)
         if self.unsent > MAX_UNSENT_BYTES:
-            LOG.warning("%s: closed, leaves %d bytes unread", self.label, self.unsent)
-            self.abort()
+            self.abort_unsent()
 
     def call_when_sent(self, action: Callable[[], None]) -> None:
         """Call it once the kernel has taken all that is written by now, or the connection has ended."""
@@ -188,7 +190,17 @@
             except OSError:  # the peer has reset it, which is not read yet
                 self.abort()
             else:
-                self.scheduler.call_later(LINGER_MS, self.transport.abort)
+                self.scheduler.call_later(LINGER_MS, self.abort_lingering)
+
+    def abort_lingering(self) -> None:
+        """End it after ``LINGER_MS``, unless its peer has ended it too."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def abort_unsent(self) -> None:
+        """End it at once, since its peer does not read, with a line in the log."""
+        LOG.warning("%s: closed, leaves %d bytes unread", self.label, self.unsent)
+        self.abort()
 
     def abort(self) -> None:
         """End it at once, whatever is unsent."""
@@ -272,8 +284,11 @@
     buffer = stream.get_buffer(MAX_MESSAGE_BYTES)
     with contextlib.suppress(OSError):
         for _ in range(MAX_READS_AFTER_RESET):
-            count = 0 if stream.unreadable else remaining.recv_into(buffer)
+            count = remaining.recv_into(buffer)
             if not count:
                 break
-            stream.buffer_updated(count)
+            if stream.unreadable:
+                stream.on_unread(memoryview(buffer)[:count])
+            else:
+                stream.buffer_updated(count)
     stream.budget.update(stream, 0)  # an ended connection must not count against the budget for good
--- a/canvasplank/program.py
+++ b/canvasplank/program.py
@@ -74,6 +74,7 @@
         self.exchange.attach_callers(self._callers)
         load_reports = read_load_report_reader(configuration.settings)
         self.servers = Servers(self.exchange, limits, settings.resend_ms, self._budget, load_reports)
+        self.servers.limit(configuration.limits.sockets)
         self.exchange.attach_servers(self.servers)
         self.discovery = Discovery(
             self.scheduler,
@@ -199,6 +200,7 @@
             setattr(fresh, name, getattr(self.configuration, name))
         self.configuration = fresh
         self._callers.limit(fresh.limits.sockets)
+        self.servers.limit(fresh.limits.sockets)
         self.exchange.set_memory_limit(fresh.limits.memory_mb * MIB)
         self._budget.limit(fresh.limits.memory_mb * MIB)
         self.discovery.move_to(fresh.discovery)
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -10,7 +10,9 @@
 
 from canvasplank.codecs import isup, sip, sse
 from canvasplank.codecs.errors import MAX_MESSAGE_BYTES, BadMessageError
+from canvasplank.codecs.sip_recovery import MessageFinder
 from canvasplank.network import server_messages
+from emulators.unreadable_messages import UnreadableKind, unreadable_message
 
 ID = "9e847923b2a4a452"
 ISUP = isup.answer(ID, b"v=0") + isup.release(ID, 42) + isup.release_confirmed(ID)
@@ -120,3 +122,25 @@
     message = isup.Message(1, ID, {} if value is None else {isup.Parameter.CLASS: value})
     with pytest.raises(BadMessageError, match=rf"parameter 100 \(class\) {names}"):
         message.text(isup.Parameter.CLASS)
+
+
+RELEASE_OF_A_CALL = sip.request("BYE", "caller", "aa" * 8, 2, {"Reason": "Q.850;cause=16"})
+
+
+@pytest.mark.parametrize("kind", UnreadableKind, ids=lambda kind: kind.name.lower())
+@pytest.mark.parametrize("size", [1, 7, 100, 16_384])
+def test_releases_are_found_behind_what_cannot_be_read_in_any_split(kind, size):
+    data = unreadable_message(kind, "bb" * 8)[-30_000:] + 2 * RELEASE_OF_A_CALL
+    finder, found = MessageFinder(), []
+    for start in range(0, len(data), size):
+        found += finder.feed(data[start : start + size])
+    releases = [message for message in found if message.method == "BYE"]
+    assert [(each.call_id, each.cause) for each in releases] == [("aa" * 8, 16)] * 2
+
+
+def test_what_looks_like_a_message_without_an_end_is_not_kept_for_ever():
+    finder = MessageFinder()
+    for _ in range(10):
+        assert not list(finder.feed(b"BYE sip:" + b"x" * 16_384))
+        assert len(finder._buffer) <= 2 * 16_384
+    assert [each.method for each in finder.feed(b"\r\n" + RELEASE_OF_A_CALL)] == ["BYE"]
--- /dev/null
+++ b/tests/test_ended_connections.py
@@ -0,0 +1,416 @@
+"""Connections to call servers that the proxy has ended: what is read on them, and for how long."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import pytest
+from race_conditions import ID, WAIT_S, run_coroutine
+from server_side import ServerSide
+
+from canvasplank.codecs import sip
+from canvasplank.config.discovery_events import Endpoint
+from canvasplank.network.ended_connection import MAX_OPEN_MS, MAX_READ_BYTES, QUIET_MS
+from canvasplank.network.peer_table import MIN_RECONNECT_DELAY_MS
+from canvasplank.network.server_stream import Peer, ServerStream
+from canvasplank.network.stream import LINGER_MS, MAX_UNSENT_BYTES
+
+SERVER = "s-a"
+NOISE = b"noise\r\n\r\n"
+STEP_MS = 10.0
+OTHER_ID = "cc" * 8
+RELEASE = sip.request("BYE", "caller", ID, 2, {"Reason": "Q.850;cause=16"})
+ANSWER = f"SIP/2.0 200 OK\r\nCall-ID: {ID}\r\nCSeq: 1 INVITE\r\nContent-Length: 3\r\n\r\nv=0".encode()
+INCOMPLETE = f"SIP/2.0 200 OK\r\nCall-ID: {ID}\r\nCSeq: 1 INVITE\r\nContent-Length: 900\r\n\r\nv=0".encode()
+
+
+class Connections(ServerSide):
+    """A rig that takes every connection to its only server, and keeps it open."""
+
+    def __init__(self, monkeypatch) -> None:
+        super().__init__(monkeypatch)
+        self.listeners.pop("s-b").close()
+        self.accepted: list[socket.socket] = []
+        self.connects_ms: list[float] = []  # when each was begun
+        connect = ServerStream.connect
+
+        def recorded_connect(stream: ServerStream, *arguments: object) -> None:
+            if stream.peer.server_id == SERVER:
+                self.connects_ms.append(self.now_ms)
+            connect(stream, *arguments)
+
+        monkeypatch.setattr(ServerStream, "connect", recorded_connect)
+
+    async def start(self) -> None:
+        await super().start()
+        self.accepted.append(self.peers[SERVER])
+        self.listeners[SERVER].setblocking(False)
+
+    async def let_pass(self, span_ms: float) -> None:
+        """Let time pass in small steps, and take what connects."""
+        for _ in range(round(span_ms / STEP_MS)):
+            await self.step(STEP_MS)
+            self.take()
+
+    def take(self) -> None:
+        with contextlib.suppress(OSError):  # nobody waits, or a test has closed the listener
+            while True:
+                connection, _ = self.listeners[SERVER].accept()
+                self.accepted.append(connection)
+
+    async def until(self, happened: Callable[[], bool]) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while not happened():
+                await self.step(STEP_MS)
+                self.take()
+
+    def close(self) -> None:
+        super().close()
+        for each in self.accepted:
+            each.close()
+
+    @property
+    def peer(self) -> Peer:
+        return self.servers._peers[SERVER]
+
+    @property
+    def connected(self) -> int:
+        """How many connections are up."""
+        return len([each for each in self.peer.streams if each.is_open])
+
+    async def establish(self) -> None:
+        """Have the call answered on the newest connection."""
+        await self.offer()
+        self.accepted[-1].sendall(ANSWER)
+        await self.until(lambda: self.exchange.established_calls == 1)
+
+    async def end_unreadably(self) -> None:
+        """Have the newest connection ended by the proxy, and the next one up; the server keeps its side."""
+        count, stream = len(self.accepted), self.peer.current
+        self.accepted[-1].sendall(NOISE)
+        await self.until(lambda: stream not in self.peer.streams)
+        await self.until(lambda: len(self.accepted) > count and self.connected == 1)
+
+    async def replace_current(self) -> ServerStream:
+        """Have another connection take the place of the current one, as of one that has hung."""
+        count, replaced = len(self.accepted), self.peer.current
+        self.scheduler.begin_iteration()
+        replaced.on_replaced()
+        self.servers._connections.connect(self.peer)
+        await self.until(lambda: len(self.accepted) > count and self.peer.current.is_open)
+        return replaced
+
+    def received(self) -> bytes:
+        """What lies unread at the server, on all connections."""
+        data = b""
+        for each in self.accepted:
+            each.setblocking(False)
+            with contextlib.suppress(OSError):
+                while chunk := each.recv(65_536):
+                    data += chunk
+        return data
+
+
+@contextlib.asynccontextmanager
+async def connections(monkeypatch) -> AsyncIterator[Connections]:
+    rig = Connections(monkeypatch)
+    try:
+        await rig.start()
+        yield rig
+    finally:
+        rig.close()
+
+
+def run(play: Callable[[Connections], Awaitable[None]], monkeypatch) -> None:
+    async def main() -> None:
+        async with connections(monkeypatch) as rig:
+            await play(rig)
+
+    run_coroutine(main())
+
+
+def has_ended(connection: socket.socket) -> bool:
+    """Whether the proxy has closed its side for writing, or reset it; what it wrote is read."""
+    connection.setblocking(False)
+    try:
+        while connection.recv(65_536):
+            pass
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
+def test_a_connection_stays_open_while_its_server_writes_on(monkeypatch):
+    """A server that sees its end may drop what it has queued there, releases among it."""
+
+    async def play(rig: Connections) -> None:
+        old = rig.accepted[0]
+        old.sendall(NOISE)
+        for _ in range(round(MAX_OPEN_MS / 2 / STEP_MS)):
+            await rig.let_pass(STEP_MS)
+            old.sendall(b"x" * 100)
+        assert not has_ended(old)
+        await rig.let_pass(QUIET_MS + 4 * STEP_MS)
+        assert has_ended(old)
+
+    run(play, monkeypatch)
+
+
+def test_a_server_that_never_pauses_is_closed_for_writing_in_time(monkeypatch):
+    async def play(rig: Connections) -> None:
+        old = rig.accepted[0]
+        old.sendall(NOISE)
+        for _ in range(round((MAX_OPEN_MS + 8 * STEP_MS) / STEP_MS)):
+            await rig.let_pass(STEP_MS)
+            old.sendall(b"x" * 100)
+        assert has_ended(old)
+
+    run(play, monkeypatch)
+
+
+def test_a_server_that_never_ends_its_side_is_read_for_a_bounded_time_and_reset(monkeypatch):
+    async def play(rig: Connections) -> None:
+        old = rig.accepted[0]
+        await rig.end_unreadably()
+        await rig.let_pass(MAX_OPEN_MS + LINGER_MS + 100.0)
+        old.setblocking(False)
+        rig.received()
+        with pytest.raises((ConnectionResetError, BrokenPipeError)):
+            old.sendall(NOISE)
+
+    run(play, monkeypatch)
+
+
+def test_nothing_is_read_on_where_no_message_was_bad(monkeypatch):
+    async def play(rig: Connections) -> None:
+        rig.accepted[0].close()
+        await rig.until(lambda: len(rig.accepted) == 2)
+        await rig.replace_current()
+        await rig.until(lambda: rig.connected == 1)
+        assert not rig.servers._connections._ended._kept
+
+    run(play, monkeypatch)
+
+
+def test_a_server_whose_every_message_is_bad_is_connected_to_no_faster_than_the_backoff_allows(monkeypatch):
+    async def play(rig: Connections) -> None:
+        start_ms, count = rig.now_ms, 0
+        while rig.now_ms < start_ms + 3000.0:
+            while count < len(rig.accepted):
+                rig.accepted[count].sendall(NOISE)
+                count += 1
+            await rig.let_pass(STEP_MS)
+        assert 10 < len(rig.connects_ms) <= 2 + (rig.now_ms - start_ms) / MIN_RECONNECT_DELAY_MS
+
+    run(play, monkeypatch)
+
+
+def test_connections_that_are_read_on_are_bounded_and_the_oldest_goes_first(monkeypatch):
+    async def play(rig: Connections) -> None:
+        rig.servers.limit(32)  # two are kept
+        descriptors = len(os.listdir("/proc/self/fd")) - len(rig.accepted)
+        for _ in range(6):
+            await rig.end_unreadably()
+        assert len(os.listdir("/proc/self/fd")) - len(rig.accepted) - descriptors <= 2
+        assert has_ended(rig.accepted[0])
+        assert not has_ended(rig.accepted[-2])
+
+    run(play, monkeypatch)
+
+
+def test_a_connection_is_read_on_for_a_bounded_number_of_bytes(monkeypatch):
+    async def play(rig: Connections) -> None:
+        await rig.end_unreadably()
+        old, sent = rig.accepted[0], 0
+        old.setblocking(False)
+        with pytest.raises((ConnectionResetError, BrokenPipeError)):
+            while sent <= 2 * MAX_READ_BYTES:
+                with contextlib.suppress(BlockingIOError):
+                    sent += old.send(b"x" * 65_536)
+                await rig.step(0.0)
+        assert sent >= MAX_READ_BYTES
+
+    run(play, monkeypatch)
+
+
+def test_a_set_up_does_not_wait_for_the_servers_end(monkeypatch):
+    async def play(rig: Connections) -> None:
+        begun_ms = rig.now_ms
+        rig.accepted[0].sendall(NOISE)
+        await rig.until(lambda: rig.peer.current is None)
+        rig.offer_call()
+        await rig.until(lambda: bool(rig.sent_ms))
+        assert rig.now_ms - begun_ms < MIN_RECONNECT_DELAY_MS + 4 * STEP_MS
+
+    run(play, monkeypatch)
+
+
+def test_the_set_ups_open_on_it_are_cancelled_there(monkeypatch):
+    """They are given up before the connection ends, which is up to ``MAX_OPEN_MS`` later."""
+
+    async def play(rig: Connections) -> None:
+        await rig.offer()
+        await rig.end_unreadably()
+        assert sip.request("CANCEL", "call", ID, 1) in rig.received()
+
+    run(play, monkeypatch)
+
+
+def test_a_release_behind_the_end_is_confirmed_while_that_is_possible(monkeypatch):
+    async def play(rig: Connections) -> None:
+        await rig.establish()
+        rig.callers.release = lambda origin, call_id, cause, on_sent: on_sent()
+        rig.accepted[0].sendall(NOISE + b"x" * 10_000 + RELEASE)
+        await rig.until(lambda: rig.exchange.established_calls == 0)
+        assert sip.response(200, "OK", next(sip.Parser().feed(RELEASE))) in rig.received()
+
+    run(play, monkeypatch)
+
+
+def test_a_release_behind_the_end_ends_no_call_of_another_server_and_none_that_is_unknown(monkeypatch):
+    """It may stand in another message's body, which others than the server have written."""
+
+    async def play(rig: Connections) -> None:
+        await rig.establish()
+        call = rig.exchange._table.established[ID]
+        call.established_server_id = "another"
+        old = rig.accepted[0]
+        await rig.end_unreadably()
+        old.sendall(RELEASE + RELEASE.replace(ID.encode(), OTHER_ID.encode()))
+        await rig.let_pass(MAX_OPEN_MS)
+        assert rig.exchange.established_calls == 1
+        assert rig.exchange.counters["taken.ends_unknown"] == 0
+
+    run(play, monkeypatch)
+
+
+def test_a_call_answered_behind_the_end_is_released(monkeypatch):
+    """Its release was written before the server had answered, on the next connection."""
+
+    async def play(rig: Connections) -> None:
+        await rig.offer()
+        old = rig.accepted[0]
+        await rig.end_unreadably()
+        await rig.let_pass(50.0)
+        assert b"BYE" in rig.received(), "for the answer that may have been lost"
+        rig.scheduler.begin_iteration()
+        rig.exchange.on_released_by_caller(ID, 16)  # the caller waits no longer: no attempt is in flight
+        await rig.let_pass(50.0)
+        rig.received()
+        old.sendall(ANSWER)
+        await rig.let_pass(50.0)
+        assert b"BYE" in rig.received()
+
+    run(play, monkeypatch)
+
+
+def test_a_call_answered_behind_the_end_is_not_released_while_it_is_set_up_there_anew(monkeypatch):
+    """The release would end the later attempt: calls are known by their ids alone."""
+
+    async def play(rig: Connections) -> None:
+        await rig.offer()
+        old = rig.accepted[0]
+        await rig.end_unreadably()
+        await rig.until(lambda: len(rig.sent_ms) == 2)
+        rig.received()
+        old.sendall(ANSWER)
+        await rig.let_pass(50.0)
+        assert b"BYE" not in rig.received()
+
+    run(play, monkeypatch)
+
+
+@pytest.mark.parametrize("draining", [True, False])
+def test_a_call_answered_behind_an_end_with_unsent_bytes_is_released(monkeypatch, draining):
+    async def play(rig: Connections) -> None:
+        await rig.offer()
+        old, stream = rig.accepted[0], rig.peer.current
+        assert b"INVITE" in rig.received()
+        stream.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        rig.scheduler.begin_iteration()
+        stream.write(b"x" * (MAX_UNSENT_BYTES // 2))
+        if draining:
+            address = f"127.0.0.1:{rig.listeners[SERVER].getsockname()[1]}"
+            rig.servers.listed(False, [Endpoint(SERVER, address, lifecycle="draining")])
+        else:
+            stream.write(b"x" * (MAX_UNSENT_BYTES + MAX_UNSENT_BYTES // 2))
+        assert not stream.is_open
+        old.sendall(ANSWER)
+        await rig.until(lambda: len(rig.accepted) == 2 and rig.connected == 1)
+        await rig.let_pass(50.0)
+        rig.scheduler.begin_iteration()
+        if rig.exchange.open_calls:
+            rig.exchange.on_released_by_caller(ID, 16)
+        await rig.let_pass(100.0)
+        assert b"BYE" in rig.received()
+
+    run(play, monkeypatch)
+
+
+def test_a_release_of_ours_that_its_server_reads_late_is_not_lost_with_the_connection(monkeypatch):
+    """It was written well before the bad message, and lies behind what the server has yet to read."""
+
+    async def play(rig: Connections) -> None:
+        old = rig.accepted[0]
+        buffer = rig.peer.current.transport.get_extra_info("socket")
+        buffer.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1_000_000)
+        rig.scheduler.begin_iteration()
+        rig.peer.current.write(b"x" * 200_000)
+        rig.servers.release(SERVER, ID, 16)
+        await rig.let_pass(100.0)
+        assert not rig.peer.current.unsent
+        await rig.let_pass(3000.0)
+        old.sendall(sip.request("NOTIFY", "exchange", "0" * 16, 1, {}))
+        await rig.let_pass(50.0)
+        await rig.end_unreadably()
+        await rig.let_pass(MAX_OPEN_MS + LINGER_MS + 100.0)
+        old.settimeout(WAIT_S)
+        data = b""
+        while chunk := old.recv(65_536):
+            data += chunk
+        assert b"BYE" in data
+
+    run(play, monkeypatch)
+
+
+@pytest.mark.parametrize("closed_before", [True, False])
+def test_a_release_swallowed_by_an_incomplete_message_counts_as_its_server_ends_the_connection(
+    monkeypatch, closed_before
+):
+    async def play(rig: Connections) -> None:
+        await rig.establish()
+        replaced = await rig.replace_current()
+        replaced.on_received(memoryview(sip.request("NOTIFY", "exchange", "0" * 16, 1, {})))  # it is in use
+        if closed_before:
+            rig.scheduler.begin_iteration()
+            replaced.close_writing()
+        rig.accepted[0].sendall(INCOMPLETE + RELEASE)
+        rig.accepted[0].close()
+        await rig.let_pass(100.0)
+        assert rig.exchange.established_calls == 0
+
+    run(play, monkeypatch)
+
+
+def test_a_release_swallowed_by_an_incomplete_message_on_a_closing_connection_counts_in_time(monkeypatch):
+    """The server ends its side late; it was read on for 2 s without a look at how long the message took."""
+
+    async def play(rig: Connections) -> None:
+        await rig.establish()
+        replaced = await rig.replace_current()
+        rig.scheduler.begin_iteration()
+        replaced.close_writing()
+        rig.accepted[0].sendall(INCOMPLETE + RELEASE)
+        await rig.until(lambda: bool(replaced.parser.in_message))
+        timeout_ms = 100.0
+        await rig.let_pass(2 * timeout_ms)
+        assert replaced.is_message_overdue(timeout_ms)
+        rig.servers._connections._check_messages(rig.peer)
+
+    run(play, monkeypatch)
--- a/tests/test_project_rules.py
+++ b/tests/test_project_rules.py
@@ -103,6 +103,7 @@
     "codecs.q850",
     "codecs.isup",
     "codecs.sip",
+    "codecs.sip_recovery",
     "codecs.sse",
     "counters",
     "runtime.scheduler",
@@ -176,6 +177,7 @@
     "network.set_up_parser",
     "network.callers",
     "network.server_messages",
+    "network.ended_connection",
     "network.server_stream",
     "network.server_connections",
     "network.peer_table",
@@ -237,7 +239,14 @@
 }
 SERVER_MODULES = {
     f"network.{name}"
-    for name in ("peer_table", "server_connections", "server_messages", "server_stream", "servers")
+    for name in (
+        "ended_connection",
+        "peer_table",
+        "server_connections",
+        "server_messages",
+        "server_stream",
+        "servers",
+    )
 }
 COMMON_MODULES = {
     f"network.{name}"
