A release that came before its server's reset is read where we close that connection

A call went on for its caller, in a small window: the server wrote its release and reset the connection, and the proxy closed the connection for writing before it had read either.

Cause: shutting down a connection that has been reset raises an error, and the connection was aborted then, with what it had brought. It is left to the event loop now, which reads what came before the reset, and then the reset.

The test resets a connection behind a release and closes it before the loop runs; it failed before.

--- a/canvasplank/network/stream.py
+++ b/canvasplank/network/stream.py
@@ -185,12 +185,9 @@
         """
         if self.transport is not None and self.is_open:
             self.writing_closed = True
-            try:
+            with contextlib.suppress(OSError):  # the peer has reset it: what came before that is read next
                 self.transport.write_eof()
-            except OSError:  # the peer has reset it, which is not read yet
-                self.abort()
-            else:
-                self.scheduler.call_later(LINGER_MS, self.abort_lingering)
+            self.scheduler.call_later(LINGER_MS, self.abort_lingering)
 
     def abort_lingering(self) -> None:
         """End it after ``LINGER_MS``, unless its peer has ended it too."""
--- a/tests/test_ended_connections.py
+++ b/tests/test_ended_connections.py
@@ -6,6 +6,8 @@
 import contextlib
 import os
 import socket
+import struct
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest
@@ -26,6 +28,7 @@
 RELEASE = sip.request("BYE", "caller", ID, 2, {"Reason": "Q.850;cause=16"})
 ANSWER = f"SIP/2.0 200 OK\r\nCall-ID: {ID}\r\nCSeq: 1 INVITE\r\nContent-Length: 3\r\n\r\nv=0".encode()
 INCOMPLETE = f"SIP/2.0 200 OK\r\nCall-ID: {ID}\r\nCSeq: 1 INVITE\r\nContent-Length: 900\r\n\r\nv=0".encode()
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class Connections(ServerSide):
@@ -414,3 +417,20 @@
         rig.servers._connections._check_messages(rig.peer)
 
     run(play, monkeypatch)
+
+
+def test_closing_a_connection_that_was_reset_meanwhile_reads_the_release_on_it(monkeypatch):
+    async def play(rig: Connections) -> None:
+        await rig.establish()
+        stream, server = rig.peer.current, rig.accepted[0]
+        server.sendall(RELEASE)
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        server.close()
+        # Both have arrived, and nothing has been read: the loop must not run meanwhile.
+        time.sleep(0.05)  # noqa: ASYNC251
+        rig.scheduler.begin_iteration()
+        stream.close_writing()
+        await rig.let_pass(100.0)
+        assert rig.exchange.established_calls == 0
+
+    run(play, monkeypatch)
