Unconfirmed releases are checked only while one may have to be sent again

A process without a call woke up 20 times a second more than before, which sends a release again that was not confirmed: it looked for such releases every 50 ms for as long as the process ran. Each wake-up is three polls of the sockets and as many look-ups of the loop. The check is now set when a release goes out on another connection than its call's, and again only while one may yet be sent again. When and where one is sent again is unchanged: at the first check of every 50 ms past 250 ms, up to 8 s.

The tests' let_pass called the check itself; it now runs the timers that are due, so that the tests of retransmission hold the setting of the check as well. Their assertions are unchanged. The new test holds the next timer of an idle process, and failed before (50 ms instead of 250 ms).

--- a/canvasplank/network/caller_releases.py
+++ b/canvasplank/network/caller_releases.py
@@ -13,7 +13,7 @@
     ReleaseHandling,
     SentRelease,
 )
-from canvasplank.runtime.scheduler import Scheduler
+from canvasplank.runtime.scheduler import Scheduler, Timer
 
 MAX_PENDING_RELEASES = 20_000  # that wait for a connection
 # For so long a pending release waits for a connection that carries calls; then any will do.
@@ -31,6 +31,7 @@
     def __init__(self, scheduler: Scheduler, counters: Counters, pool: CallerPool) -> None:
         self._scheduler, self._counters, self._pool = scheduler, counters, pool
         self._pending: dict[str, PendingRelease] = {}  # those that wait for a connection, by call
+        self._retry_check: Timer | None = None  # while a release may have to be sent again
 
     def send(
         self,
@@ -77,15 +78,25 @@
         for call_id, cause in stream.unconfirmed.take_sent_after(since_ms):
             self.send(None, call_id, cause)
 
-    def retry_unconfirmed(self) -> None:
-        """Send again, periodically, what was not confirmed in time: the peer may not know the call."""
+    def _check_unconfirmed(self) -> None:
+        """Send again what was not confirmed in time: the peer may not know the call."""
+        self._retry_check = None
         now_ms = self._scheduler.now_ms
         for stream in list(self._pool.streams):
             for call_id, release in list(stream.unconfirmed.items()):
-                is_due = RETRY_DELAY_MS <= now_ms - release.sent_ms < MAX_RETRY_AGE_MS
-                if is_due and 0 < release.foreign_sends < MAX_FOREIGN_SENDS:
+                if not self._may_retry(release):
+                    continue
+                self._check_unconfirmed_later()
+                if now_ms - release.sent_ms >= RETRY_DELAY_MS:
                     self._retry(stream, call_id, release)
-        self._scheduler.call_later(RETRY_CHECK_INTERVAL_MS, self.retry_unconfirmed)
+
+    def _may_retry(self, release: SentRelease) -> bool:
+        is_recent = self._scheduler.now_ms - release.sent_ms < MAX_RETRY_AGE_MS
+        return is_recent and 0 < release.foreign_sends < MAX_FOREIGN_SENDS
+
+    def _check_unconfirmed_later(self) -> None:
+        if self._retry_check is None:
+            self._retry_check = self._scheduler.call_later(RETRY_CHECK_INTERVAL_MS, self._check_unconfirmed)
 
     def _retry(self, stream: CallerStream, call_id: str, release: SentRelease) -> None:
         stream.last_release = ReleaseHandling.IGNORED
@@ -101,6 +112,8 @@
     ) -> None:
         self._counters.add("sent.releases_to_callers")
         stream.send_release(call_id, release.cause, foreign_sends)
+        if foreign_sends > 0:
+            self._check_unconfirmed_later()
         if release.on_sent is not None:
             release.on_sent()
 
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -67,7 +67,6 @@
             self.exchange.scheduler, host, port, self._pool.max_accepts, lambda: CallerStream(self)
         )
         self._pool.close_idle_connections()
-        self.releases.retry_unconfirmed()
 
     def limit(self, sockets: int) -> None:
         """Take a new limit of the program's sockets."""
--- a/tests/race_conditions.py
+++ b/tests/race_conditions.py
@@ -93,11 +93,14 @@
         self.scheduler.now_ms = self.now_ms
         self.callers._pool.close_idle_connections()
 
-    def let_pass(self, span_ms: float) -> None:
-        """Let this time pass, and send again what is due."""
+    async def let_pass(self, span_ms: float) -> None:
+        """Let this time pass, and run the timers that are due then."""
         self.now_ms += span_ms
+        timers_ran = asyncio.Event()
+        self.scheduler.timers.add(self.now_ms, timers_ran.set)
         self.scheduler.begin_iteration()
-        self.callers.releases.retry_unconfirmed()
+        async with asyncio.timeout(WAIT_S):
+            await timers_ran.wait()
 
     def for_room(self) -> None:
         self.callers.limit(1)
--- a/tests/test_releases_to_callers.py
+++ b/tests/test_releases_to_callers.py
@@ -10,7 +10,13 @@
 from server_side import ServerSide
 
 from canvasplank.codecs import isup, sip
-from canvasplank.network.caller_releases import MAX_FOREIGN_SENDS, RETRY_DELAY_MS
+from canvasplank.network.caller_pool import IDLE_CHECK_INTERVAL_MS
+from canvasplank.network.caller_releases import (
+    MAX_FOREIGN_SENDS,
+    MAX_RETRY_AGE_MS,
+    RETRY_CHECK_INTERVAL_MS,
+    RETRY_DELAY_MS,
+)
 
 SERVER = "s-a"
 OTHER_ID = "cc" * 8
@@ -130,12 +136,12 @@
         older, newer = await calling_caller(caller_side), await calling_caller(caller_side)
         caller_side.exchange.on_released_by_server(SERVER, ID, 16)
         assert await received(newer, len(RELEASED)) == RELEASED
-        caller_side.let_pass(RETRY_DELAY_MS - 1)
+        await caller_side.let_pass(RETRY_DELAY_MS - 1)
         assert caller_side.exchange.counters["sent.releases_again"] == 0
         for peer in [older, newer][: MAX_FOREIGN_SENDS - 1]:
-            caller_side.let_pass(RETRY_DELAY_MS)
+            await caller_side.let_pass(RETRY_DELAY_MS)
             assert await received(peer, len(RELEASED)) == RELEASED
-        caller_side.let_pass(RETRY_DELAY_MS)
+        await caller_side.let_pass(RETRY_DELAY_MS)
         assert caller_side.exchange.counters["sent.releases_again"] == MAX_FOREIGN_SENDS - 1
         older.close(), newer.close()
         caller_side.callers.stop_listening()
@@ -150,9 +156,37 @@
         first = await calling_caller(caller_side)
         await confirmed_release(caller_side, first, ID)
         second = await calling_caller(caller_side)
-        caller_side.let_pass(RETRY_DELAY_MS)
+        await caller_side.let_pass(RETRY_DELAY_MS)
         assert caller_side.exchange.counters["sent.releases_again"] == 0
         first.close(), second.close()
         caller_side.callers.stop_listening()
 
     run_coroutine(run())
+
+
+def next_timer_ms(caller_side: CallerSide) -> float:
+    """How long after the test's clock the next timer is due."""
+    due_ms = caller_side.scheduler.timers.next_due_ms()
+    assert due_ms is not None
+    return due_ms - caller_side.now_ms
+
+
+def test_unconfirmed_releases_are_checked_only_while_one_may_be_sent_again():
+    """They were checked twenty times a second in a process without a call, too."""
+
+    async def run() -> None:
+        caller_side = CallerSide()
+        caller_side.callers.listen("127.0.0.1", caller_side.port)
+        assert next_timer_ms(caller_side) == IDLE_CHECK_INTERVAL_MS
+        caller = await calling_caller(caller_side)
+        caller_side.exchange.on_released_by_server(SERVER, ID, 16)
+        assert next_timer_ms(caller_side) == RETRY_CHECK_INTERVAL_MS
+        assert await received(caller, len(RELEASED)) == RELEASED
+        await caller_side.let_pass(RETRY_CHECK_INTERVAL_MS)
+        assert next_timer_ms(caller_side) == RETRY_CHECK_INTERVAL_MS, "it may yet be sent again"
+        await caller_side.let_pass(MAX_RETRY_AGE_MS)
+        assert next_timer_ms(caller_side) == IDLE_CHECK_INTERVAL_MS
+        caller.close()
+        caller_side.callers.stop_listening()
+
+    run_coroutine(run())
