A release for a caller is one typed message, CallerRelease

The arguments of a release (call, cause, what to call once it is written) stood alike in the port of the exchange, in its implementation and in the module that sends releases, and a fourth time in the record of a release that waits for a connection. CallerRelease holds them once, and is that record too; the stand-ins of the tests take it.

--- a/canvasplank/exchange/call_records.py
+++ b/canvasplank/exchange/call_records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass, field
 
 from canvasplank import interface as api
@@ -30,6 +30,15 @@
 NO_DETAILS = RefusalDetails()
 
 
+@dataclass(frozen=True, slots=True)
+class CallerRelease:
+    """The release of an established call, for its caller."""
+
+    call_id: str
+    cause: int  # of Q.850
+    on_sent: Callable[[], None] | None = None  # called once it is written to a connection
+
+
 @dataclass(slots=True)
 class Attempt:
     """The one attempt of a call that is in flight."""
--- a/canvasplank/exchange/exchange.py
+++ b/canvasplank/exchange/exchange.py
@@ -15,7 +15,13 @@
 from canvasplank.codecs.q850 import ReleaseCause
 from canvasplank.counters import Counters
 from canvasplank.exchange.attempts import Attempts
-from canvasplank.exchange.call_records import NO_DETAILS, CallRecord, FinalAnswer, RefusalDetails
+from canvasplank.exchange.call_records import (
+    NO_DETAILS,
+    CallerRelease,
+    CallRecord,
+    FinalAnswer,
+    RefusalDetails,
+)
 from canvasplank.exchange.call_table import CallTable
 from canvasplank.exchange.event_dispatcher import Decide, EventDispatcher
 from canvasplank.exchange.final_answers import FinalAnswers
@@ -194,14 +200,14 @@
                 on_passed_on()  # the end of an attempt that was released there as unwanted
                 return
             self.counters.add("taken.ends")
-            self._callers.release(call.origin, call_id, cause, on_passed_on)
+            self._callers.release(call.origin, CallerRelease(call_id, cause, on_passed_on))
             outcome = api.Outcome.ENDED if cause == ReleaseCause.NORMAL_CLEARING else api.Outcome.RESET
             self._end_established(call, outcome, report)
         elif not self._table.has_ended(call_id) and call_id not in self._table.open:
             # After a restart of this program the caller still counts on the call.
             self.counters.add("taken.ends_unknown")
             self._table.remember_ended(call_id)
-            self._callers.release(None, call_id, cause, on_passed_on)
+            self._callers.release(None, CallerRelease(call_id, cause, on_passed_on))
         elif not self._callers.wait_for_release(call_id, on_passed_on):
             on_passed_on()
 
@@ -231,7 +237,7 @@
         """
         for call in self._table.established_at(server_id, started_before_ms):
             self.counters.add("sent.ends_for_servers")
-            self._callers.release(call.origin, call.id, ReleaseCause.TEMPORARY_FAILURE)
+            self._callers.release(call.origin, CallerRelease(call.id, ReleaseCause.TEMPORARY_FAILURE))
             if notify_server:
                 self._servers.release(server_id, call.id, ReleaseCause.TEMPORARY_FAILURE)
             self._end_established(call, api.Outcome.RESET)
--- a/canvasplank/exchange/ports.py
+++ b/canvasplank/exchange/ports.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from canvasplank import interface as api
-from canvasplank.exchange.call_records import CallRecord, FinalAnswer
+from canvasplank.exchange.call_records import CallerRelease, CallRecord, FinalAnswer
 
 
 class CallerSide(Protocol):
@@ -23,17 +23,8 @@
     ) -> None:
         """Send the answer that the call is refused or has failed."""
 
-    def release(
-        self,
-        origin: Hashable | None,
-        call_id: str,
-        cause: int,
-        on_sent: Callable[[], None] | None = None,
-    ) -> None:
-        """Send the release of an established call, on any connection; ``cause`` is a cause of Q.850.
-
-        ``on_sent`` is called once it is written to a connection, which may be a later one, or none.
-        """
+    def release(self, origin: Hashable | None, release: CallerRelease) -> None:
+        """Send the release of an established call, on any connection, which may be a later one, or none."""
 
     def wait_for_release(self, call_id: str, on_sent: Callable[[], None]) -> bool:
         """Call this, instead of what waited before, once a release that has no connection yet is written.
--- a/canvasplank/network/caller_releases.py
+++ b/canvasplank/network/caller_releases.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from canvasplank.counters import Counters
+from canvasplank.exchange.call_records import CallerRelease
 from canvasplank.network.caller_pool import CallerPool
 from canvasplank.network.caller_stream import CallerStream
 from canvasplank.network.release_retransmission import (
     CONFIRMATION_WINDOW_MS,
-    PendingRelease,
     ReleaseHandling,
     SentRelease,
 )
@@ -30,27 +31,17 @@
 
     def __init__(self, scheduler: Scheduler, counters: Counters, pool: CallerPool) -> None:
         self._scheduler, self._counters, self._pool = scheduler, counters, pool
-        self._pending: dict[str, PendingRelease] = {}  # those that wait for a connection, by call
+        self._pending: dict[str, CallerRelease] = {}  # those that wait for a connection, by call
         self._retry_check: Timer | None = None  # while a release may have to be sent again
 
-    def send(
-        self,
-        stream: CallerStream | None,
-        call_id: str,
-        cause: int,
-        on_sent: Callable[[], None] | None = None,
-    ) -> None:
-        """Send here where it can be written to, else on the newest that carries calls, or later.
-
-        ``on_sent`` is called once it is written to a connection.
-        """
-        release = PendingRelease(cause, on_sent)
+    def send(self, stream: CallerStream | None, release: CallerRelease) -> None:
+        """Send here where it can be written to, else on the newest that carries calls, or later."""
         if stream is not None and stream.is_open and not stream.half_closed:
-            self._send_on(stream, call_id, release)
+            self._send_on(stream, release)
         elif (other := self._pool.best_for_release(carrying_calls=True)) is not None:
-            self._send_on(other, call_id, release, foreign_sends=1)
+            self._send_on(other, release, foreign_sends=1)
         elif len(self._pending) < MAX_PENDING_RELEASES:
-            self._pending[call_id] = release
+            self._pending[release.call_id] = release
             self._send_pending_later()
 
     def wait_for_release(self, call_id: str, on_sent: Callable[[], None]) -> bool:
@@ -58,7 +49,7 @@
         pending = self._pending.get(call_id)
         if pending is None:
             return False
-        self._pending[call_id] = PendingRelease(pending.cause, on_sent)
+        self._pending[call_id] = replace(pending, on_sent=on_sent)
         return True
 
     def on_connected(self) -> None:
@@ -69,14 +60,14 @@
     def send_pending(self, stream: CallerStream) -> None:
         """Write all that have waited for a connection."""
         pending, self._pending = self._pending, {}
-        for call_id, release in pending.items():
-            self._send_on(stream, call_id, release, foreign_sends=1)
+        for release in pending.values():
+            self._send_on(stream, release, foreign_sends=1)
 
     def resend_unconfirmed(self, stream: CallerStream) -> None:
         """Send again what may have crossed the caller's end of this connection."""
         since_ms = self._scheduler.now_ms - CONFIRMATION_WINDOW_MS
         for call_id, cause in stream.unconfirmed.take_sent_after(since_ms):
-            self.send(None, call_id, cause)
+            self.send(None, CallerRelease(call_id, cause))
 
     def _check_unconfirmed(self) -> None:
         """Send again what was not confirmed in time: the peer may not know the call."""
@@ -107,11 +98,9 @@
         self._counters.add("sent.releases_again")
         other.send_release(call_id, release.cause, release.foreign_sends + 1)
 
-    def _send_on(
-        self, stream: CallerStream, call_id: str, release: PendingRelease, foreign_sends: int = 0
-    ) -> None:
+    def _send_on(self, stream: CallerStream, release: CallerRelease, foreign_sends: int = 0) -> None:
         self._counters.add("sent.releases_to_callers")
-        stream.send_release(call_id, release.cause, foreign_sends)
+        stream.send_release(release.call_id, release.cause, foreign_sends)
         if foreign_sends > 0:
             self._check_unconfirmed_later()
         if release.on_sent is not None:
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -9,7 +9,7 @@
 from canvasplank.codecs.errors import BadMessageError
 from canvasplank.codecs.q850 import ReleaseCause
 from canvasplank.config.platform_settings import RequestBounds
-from canvasplank.exchange.call_records import FinalAnswer
+from canvasplank.exchange.call_records import CallerRelease, FinalAnswer
 from canvasplank.exchange.exchange import Exchange
 from canvasplank.network.caller_pool import CallerPool
 from canvasplank.network.caller_releases import CallerReleases
@@ -123,18 +123,12 @@
         rejection = isup.release(call_id, REJECTION_CAUSES[final], retry_after_ms)
         cast(CallerStream, origin).send_final_answer(call_id, rejection)
 
-    def release(
-        self,
-        origin: Hashable | None,
-        call_id: str,
-        cause: int,
-        on_sent: Callable[[], None] | None = None,
-    ) -> None:
+    def release(self, origin: Hashable | None, release: CallerRelease) -> None:
         """See ``CallerSide``; no connection owns an established call: any will do, or the next."""
         stream = cast("CallerStream | None", origin)
         if stream is not None:
-            stream.established.discard(call_id)
-        self.releases.send(stream, call_id, cause, on_sent)
+            stream.established.discard(release.call_id)
+        self.releases.send(stream, release)
 
     def wait_for_release(self, call_id: str, on_sent: Callable[[], None]) -> bool:
         """See ``CallerSide``."""
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -6,7 +6,7 @@
 
 from canvasplank import interface as api
 from canvasplank.counters import Counters
-from canvasplank.exchange.call_records import CallRecord, FinalAnswer
+from canvasplank.exchange.call_records import CallerRelease, CallRecord, FinalAnswer
 from canvasplank.exchange.call_table import CALL_RECORD_BYTES, RECORDS_FRACTION
 from canvasplank.exchange.exchange import Exchange
 from canvasplank.runtime.scheduler import Scheduler, TimerQueue
@@ -31,7 +31,7 @@
     def answer(self, origin: object, call_id: str, description: bytes) -> None:
         """Answers are not recorded."""
 
-    def release(self, origin: object, call_id: str, cause: int, on_sent: object = None) -> None:
+    def release(self, origin: object, release: CallerRelease) -> None:
         """Releases are not recorded."""
 
     def remove_call(self, origin: object, call_id: str) -> None:
--- a/tests/test_releases_to_callers.py
+++ b/tests/test_releases_to_callers.py
@@ -79,7 +79,7 @@
     async def run() -> None:
         rig = ServerSide(monkeypatch)
         waiting: list[Callable[[], None]] = []
-        rig.callers.release = lambda origin, call_id, cause, on_sent: waiting.append(on_sent)
+        rig.callers.release = lambda origin, release: waiting.append(release.on_sent)
         try:
             await rig.start()
             peer = rig.peers[SERVER]
