The end of a call is described as notified and confirmed

'told' and 'heard' in the docstring of Exchange.on_released_by_server and beside it were not the terms of the protocol: a caller is notified of a release, and a release is confirmed to its server. Docstrings, comments and the message of one assertion only.

--- a/canvasplank/exchange/call_records.py
+++ b/canvasplank/exchange/call_records.py
@@ -32,7 +32,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerRelease:
-    """The release of an established call, for its caller."""
+    """The release of an established call that its caller is to be notified of."""
 
     call_id: str
     cause: int  # of Q.850
--- a/canvasplank/exchange/exchange.py
+++ b/canvasplank/exchange/exchange.py
@@ -189,10 +189,11 @@
         report: api.Report | None = None,
         on_passed_on: Callable[[], None] = lambda: None,
     ) -> None:
-        """A server has ended an established call.
+        """A server has released an established call.
 
-        ``on_passed_on`` is called once no caller need be told of it any more.  Until then the server must not
-        take it for heard: its caller would never learn of it should this process end meanwhile.
+        ``on_passed_on`` is called once no caller remains to be notified of the release.  Until then it must
+        not be confirmed to the server, which would not send it again: should this process end meanwhile, the
+        caller would never be notified.
         """
         call = self._table.established.get(call_id)
         if call is not None:
--- a/canvasplank/exchange/ports.py
+++ b/canvasplank/exchange/ports.py
@@ -27,9 +27,9 @@
         """Send the release of an established call, on any connection, which may be a later one, or none."""
 
     def wait_for_release(self, call_id: str, on_sent: Callable[[], None]) -> bool:
-        """Call this, instead of what waited before, once a release that has no connection yet is written.
+        """Replace the callback of a pending release, one that waits for a connection.
 
-        False: no release of this call waits for a connection, and ``on_sent`` is not called.
+        False: no release of this call is pending, and ``on_sent`` is not called.
         """
 
     def remove_call(self, origin: Hashable, call_id: str) -> None:
--- a/canvasplank/network/caller_releases.py
+++ b/canvasplank/network/caller_releases.py
@@ -45,7 +45,7 @@
             self._send_pending_later()
 
     def wait_for_release(self, call_id: str, on_sent: Callable[[], None]) -> bool:
-        """Call this instead of what waits for a pending release; False: none is pending."""
+        """Replace the callback of a pending release; False: none is pending."""
         pending = self._pending.get(call_id)
         if pending is None:
             return False
--- a/canvasplank/network/release_retransmission.py
+++ b/canvasplank/network/release_retransmission.py
@@ -18,7 +18,7 @@
     """A release that waits for a connection."""
 
     cause: int
-    on_sent: Callable[[], None] | None = None  # called once it has left, or nothing need wait for it
+    on_sent: Callable[[], None] | None = None  # called once it is sent, or need not be waited for
 
 
 class ReleaseHandling(enum.IntEnum):
--- a/tests/test_releases_to_callers.py
+++ b/tests/test_releases_to_callers.py
@@ -68,7 +68,7 @@
         peer = await calling_caller(caller_side, pending=isup.release(ID, 16))
         assert passed_on == [2]
         release(3)
-        assert passed_on == [2, 3], "it has been told"
+        assert passed_on == [2, 3], "the caller has been notified"
         peer.close()
         caller_side.callers.stop_listening()
 
