The scheduler looks the running loop up once an iteration

Up to Python 3.11 each asyncio.get_running_loop() is a system call (getpid), and an iteration made three or more: a quarter of all system calls of a process under load. The loop found at the start of the iteration is passed on to the polls after it and to the wake-up.

The new test counted the look-ups and failed before.

--- a/canvasplank/runtime/scheduler.py
+++ b/canvasplank/runtime/scheduler.py
@@ -111,7 +111,8 @@
         due_ms = self._wakeup_ms
         self.now_ms = max(self.now_ms, self._clock())
         self.lateness_ms = 0.0 if due_ms is None else max(0.0, self.now_ms - due_ms)
-        asyncio.get_running_loop().call_soon(self._poll_again)
+        loop = asyncio.get_running_loop()  # once an iteration: a system call, up to Python 3.11
+        loop.call_soon(self._poll_again, loop)
 
     def read_clock(self) -> float:
         """The time at this very point of the iteration, in ms: for what has just been done, not received."""
@@ -121,17 +122,17 @@
         """Run an action after a delay, counted from the start of this iteration."""
         return self.timers.add(self.now_ms + delay_ms, action)
 
-    def _poll_again(self) -> None:
+    def _poll_again(self, loop: asyncio.AbstractEventLoop) -> None:
         """Runs once after each poll of the sockets, until a poll has brought nothing."""
         self._polls += 1
         # The first poll is the one that began the iteration; the next one shows whether there is more.
         if (self._polls == 1 or self._received) and self._polls < MAX_POLLS_PER_ITERATION:
             self._received = False
-            asyncio.get_running_loop().call_soon(self._poll_again)
+            loop.call_soon(self._poll_again, loop)
             return
         self._run_due_timers()
         self._in_iteration = False
-        self._arm_wakeup()
+        self._arm_wakeup(loop)
 
     def _run_due_timers(self) -> None:
         while (timer := self.timers.pop_due(self.now_ms)) is not None:
@@ -140,7 +141,7 @@
             except Exception:  # an action that fails must not keep the others from running
                 LOG.exception("the action of a timer failed")
 
-    def _arm_wakeup(self) -> None:
+    def _arm_wakeup(self, loop: asyncio.AbstractEventLoop) -> None:
         """Have the event loop wake up for the earliest timer."""
         due_ms = self.timers.next_due_ms()
         if due_ms == self._wakeup_ms and self._wakeup is not None and not self._wakeup.cancelled():
@@ -150,7 +151,7 @@
         self._wakeup, self._wakeup_ms = None, due_ms
         if due_ms is not None:
             delay_s = max(0.0, due_ms - self._clock()) / 1000
-            self._wakeup = asyncio.get_running_loop().call_later(delay_s, self._on_wakeup)
+            self._wakeup = loop.call_later(delay_s, self._on_wakeup)
 
     def _on_wakeup(self) -> None:
         self.begin_iteration()
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -92,3 +92,25 @@
 
     asyncio.run(run())
     assert done == ["second"]
+
+
+def test_the_running_loop_is_looked_up_once_an_iteration(monkeypatch):
+    """Each look-up is a system call (getpid) in Python 3.11; there were three or more in an iteration."""
+    lookups, get_running_loop = [], asyncio.get_running_loop
+
+    def counted_lookup() -> asyncio.AbstractEventLoop:
+        lookups.append(None)
+        return get_running_loop()
+
+    async def run() -> bool:
+        scheduler = Scheduler(TimerQueue(), clock=lambda: 5.0)
+        scheduler.call_later(60_000, lambda: None)
+        monkeypatch.setattr(asyncio, "get_running_loop", counted_lookup)
+        scheduler.begin_iteration()
+        for _ in range(5):
+            await asyncio.sleep(0)
+        monkeypatch.undo()
+        return scheduler._wakeup is not None
+
+    assert asyncio.run(run()), "the iteration has ended, and the next timer wakes the loop up"
+    assert len(lookups) == 1
