Tests: the soak plays up to three seeds at once, each in a process of its own

They are independent (a deployment's loopback address is its process's own), and the long soaks are played three at once. A pool of spawned processes plays those whose tests are run, three at once and no more than one for two cores; each test waits for its own seed's result, and asserts what it did: no violation, and more than 100 calls. With a made-up violation a test failed with the whole description.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,12 @@
 
 from __future__ import annotations
 
+import multiprocessing
+import os
+from collections.abc import Iterator
+from concurrent.futures import Future, ProcessPoolExecutor
+from typing import NamedTuple
+
 import pytest
 
 from experiments.soak import deployment
@@ -10,15 +16,46 @@
 
 # Together they draw every kind of disturbance, and both kinds of crowd.
 SEEDS = [2, 5, 7, 10, 11, 20, 22, 23]
+# So many deployments are played at once, each from a process, and so on a loopback address, of its own.
+MAX_AT_ONCE = 3
+CORES_PER_DEPLOYMENT = 2
+WAIT_S = 300.0
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-def test_no_rule_of_the_service_breaks(seed):
+class PlayedSeed(NamedTuple):
+    """What became of one seed."""
+
+    violations: int
+    description: str
+    calls: int
+
+
+def play(seed: int) -> PlayedSeed:
+    """Play a seed in this process."""
     scenario = draw(seed)
     trace = deployment.run(scenario)
     line, violations = verdict(scenario, trace)
-    assert not violations, f"{line}\n{describe_failure(scenario, trace, violations)}"
-    assert len(trace.calls) > 100
+    failure = describe_failure(scenario, trace, violations) if violations else ""
+    return PlayedSeed(len(violations), f"{line}\n{failure}", len(trace.calls))
+
+
+@pytest.fixture(scope="module")
+def played(request: pytest.FixtureRequest) -> Iterator[dict[int, Future[PlayedSeed]]]:
+    """The seeds whose tests are run, as many at once as the machine has cores for."""
+    cores = os.cpu_count() or 1
+    at_once = max(1, min(MAX_AT_ONCE, cores // CORES_PER_DEPLOYMENT))
+    tests = [item for item in request.session.items if item.module is request.module]
+    seeds = [item.callspec.params["seed"] for item in tests if hasattr(item, "callspec")]
+    with ProcessPoolExecutor(at_once, multiprocessing.get_context("spawn")) as pool:
+        yield {seed: pool.submit(play, seed) for seed in seeds}
+        pool.shutdown(cancel_futures=True)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_rule_of_the_service_breaks(seed, played):
+    result = played[seed].result(WAIT_S)
+    assert not result.violations, result.description
+    assert result.calls > 100
 
 
 def test_the_seeds_draw_every_kind_of_disturbance():
