Tests: a free port is reserved against other processes of this machine, too

free_port remembered what it had returned in its own process only. Listeners share their ports, so two runs of the tests on one machine, or workers of a parallel run, could be given one port, and divide the callers of two proxies. A port is now reserved by a record lock on a file of this user's, which ends with its process; the replay of recorded exchanges draws its ports so as well. Locks on one file need one descriptor, where a lock file for each port would need hundreds.

--- a/emulators/fleet.py
+++ b/emulators/fleet.py
@@ -4,15 +4,17 @@
 
 import asyncio
 import contextlib
+import fcntl
 import json
 import os
 import signal
 import socket
 import sys
+import tempfile
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 from emulators.discovery import Discovery
 from emulators.server import CallServer
@@ -22,11 +24,36 @@
 POLL_INTERVAL_S, POLL_INTERVAL_MAX_S = 0.02, 0.4
 
 
-_ASSIGNED_PORTS: set[int] = set()
+class PortReservations:
+    """Ports that are taken on this machine by the processes that reserve them here, each until it ends.
+
+    A reservation is a record lock on the byte of that number in a file which all these processes share.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._ports: set[int] = set()
+        self._file: IO[bytes] | None = None  # stays open: closing it would drop all locks of this process
+
+    def reserve(self, port: int) -> bool:
+        """Reserve a port; False: this process or another has it."""
+        if port in self._ports:
+            return False
+        if self._file is None:
+            self._file = self._path.open("ab")
+        try:
+            fcntl.lockf(self._file, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+        except (BlockingIOError, PermissionError):  # either, by POSIX, where another process has it
+            return False
+        self._ports.add(port)
+        return True
+
+
+_RESERVATIONS = PortReservations(Path(tempfile.gettempdir()) / f"canvasplank-ports-{os.getuid()}")
 
 
 def free_port() -> int:
-    """A free port that this process has not returned before.
+    """A free port that no process of this user has been given here before, but those that have ended.
 
     Listeners share their ports (``SO_REUSEPORT``): were one returned twice before its first owner
     listens, two of hundreds that start at once would divide the callers of both.
@@ -35,8 +62,7 @@
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             port: int = probe.getsockname()[1]
-        if port not in _ASSIGNED_PORTS:
-            _ASSIGNED_PORTS.add(port)
+        if _RESERVATIONS.reserve(port):
             return port
 
 
--- a/tests/exchange_replay.py
+++ b/tests/exchange_replay.py
@@ -42,6 +42,8 @@
 import time
 from pathlib import Path
 
+from emulators.fleet import free_port
+
 ROOT = Path(__file__).parent.parent
 WAIT_S = 20.0  # for anything that is expected; a slow machine only takes longer
 PROGRESS = re.compile(rb"\x00\x09\x06.{8}", re.DOTALL)
@@ -221,8 +223,7 @@
         {"refused": peer.refuses, "never": peer.never_comes_up}.get(how, lambda: None)()
 
     def start(self, descriptors: int = 1024, **changes: object) -> None:
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.listen = f"127.0.0.1:{free.getsockname()[1]}"
+        self.listen = f"127.0.0.1:{free_port()}"
         configuration = {
             "name": "n0",
             "listen": self.listen,
