A server's release is confirmed once its caller has it, so a restart cannot lose it

Cause: the 200 to the BYE was written together with the release. The release was then sent again on no connection, as there was none, and a server that stops at the 200 had nothing for the next process.

Now the 200 waits for the caller's confirmation. What is not delivered when the process ends has no 200, and goes to the next process.

test_a_release_counts_as_passed_on_only_once_it_is_written asserted the fault: its successor requires the caller's confirmation as well.

--- a/canvasplank/exchange/call_records.py
+++ b/canvasplank/exchange/call_records.py
@@ -36,7 +36,8 @@
 
     call_id: str
     cause: int  # of Q.850
-    on_sent: Callable[[], None] | None = None  # called once it is written to a connection
+    # Called once its caller has it, as far as can be known.
+    on_delivered: Callable[[], None] | None = None
 
 
 @dataclass(slots=True)
--- a/canvasplank/exchange/exchange.py
+++ b/canvasplank/exchange/exchange.py
@@ -187,30 +187,30 @@
         call_id: str,
         cause: int,
         report: api.Report | None = None,
-        on_passed_on: Callable[[], None] = lambda: None,
+        on_delivered: Callable[[], None] = lambda: None,
     ) -> None:
         """A server has released an established call.
 
-        ``on_passed_on`` is called once no caller remains to be notified of the release.  Until then it must
+        ``on_delivered`` is called once no caller remains to be notified of the release.  Until then it must
         not be confirmed to the server, which would not send it again: should this process end meanwhile, the
         caller would never be notified.
         """
         call = self._table.established.get(call_id)
         if call is not None:
             if call.established_server_id != server_id:
-                on_passed_on()  # the end of an attempt that was released there as unwanted
+                on_delivered()  # the end of an attempt that was released there as unwanted
                 return
             self.counters.add("taken.ends")
-            self._callers.release(call.origin, CallerRelease(call_id, cause, on_passed_on))
+            self._callers.release(call.origin, CallerRelease(call_id, cause, on_delivered))
             outcome = api.Outcome.ENDED if cause == ReleaseCause.NORMAL_CLEARING else api.Outcome.RESET
             self._end_established(call, outcome, report)
         elif not self._table.has_ended(call_id) and call_id not in self._table.open:
             # After a restart of this program the caller still counts on the call.
             self.counters.add("taken.ends_unknown")
             self._table.remember_ended(call_id)
-            self._callers.release(None, CallerRelease(call_id, cause, on_passed_on))
-        elif not self._callers.wait_for_release(call_id, on_passed_on):
-            on_passed_on()
+            self._callers.release(None, CallerRelease(call_id, cause, on_delivered))
+        elif not self._callers.wait_for_delivery(call_id, on_delivered):
+            on_delivered()
 
     def on_circuits_reported(self, server_id: str, free: float, circuits: float) -> None:
         """A server has reported its free circuits and all its circuits."""
--- a/canvasplank/exchange/ports.py
+++ b/canvasplank/exchange/ports.py
@@ -26,10 +26,10 @@
     def release(self, origin: Hashable | None, release: CallerRelease) -> None:
         """Send the release of an established call, on any connection, which may be a later one, or none."""
 
-    def wait_for_release(self, call_id: str, on_sent: Callable[[], None]) -> bool:
-        """Replace the callback of a pending release, one that waits for a connection.
+    def wait_for_delivery(self, call_id: str, on_delivered: Callable[[], None]) -> bool:
+        """Replace the callback of a release that was sent before and may not be delivered yet.
 
-        False: no release of this call is pending, and ``on_sent`` is not called.
+        False: no release of this call is undelivered, and ``on_delivered`` is not called.
         """
 
     def remove_call(self, origin: Hashable, call_id: str) -> None:
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -130,9 +130,9 @@
             stream.established.discard(release.call_id)
         self.releases.send(stream, release)
 
-    def wait_for_release(self, call_id: str, on_sent: Callable[[], None]) -> bool:
+    def wait_for_delivery(self, call_id: str, on_delivered: Callable[[], None]) -> bool:
         """See ``CallerSide``."""
-        return self.releases.wait_for_release(call_id, on_sent)
+        return self.releases.wait_for_delivery(call_id, on_delivered)
 
     def remove_call(self, origin: Hashable, call_id: str) -> None:
         """See ``CallerSide``."""
@@ -167,6 +167,7 @@
                 stream.write(isup.release_confirmed(message.call_id))
             case isup.Kind.RELEASE_CONFIRMED:
                 stream.on_release_confirmed(message.call_id)
+                self.releases.on_delivered(message.call_id)
             case isup.Kind.TEST:
                 stream.write(isup.test_result(message.call_id, self.takes_callers))
             case isup.Kind.PROGRESS:
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -174,18 +174,23 @@
             self.release(peer.server_id, call_id, ReleaseCause.NORMAL_UNSPECIFIED)
 
     def _on_release(self, stream: ServerStream, message: sip.Message, write: Callable[[bytes], None]) -> None:
-        """Pass it on, and confirm it then: a server sends what nobody has confirmed to the next process."""
-        response = sip.response(OK, "OK", message)
-        stream.peer.remove_established(message.call_id)
+        """Pass it on, and confirm it once its caller has it.
+
+        A server sends what nobody has confirmed on its next connection, and so to the next process.
+        """
+
+        def confirm() -> None:
+            # Not before, or a connection that was replaced would end before the confirmation.
+            stream.peer.remove_established(message.call_id)
+            write(sip.response(OK, "OK", message))
+
         if not CALL_ID.fullmatch(message.call_id):
             # An id that is no call's must reach neither the callers nor the exchange's memory of ended calls.
-            write(response)
+            confirm()
             return
         cause = ReleaseCause.NORMAL_CLEARING if message.cause is None else message.cause
         report = self._load_reports.report(parse_gauges(message))
-        self.exchange.on_released_by_server(
-            stream.peer.server_id, message.call_id, cause, report, lambda: write(response)
-        )
+        self.exchange.on_released_by_server(stream.peer.server_id, message.call_id, cause, report, confirm)
 
     def _on_response(self, stream: ServerStream, message: sip.Message) -> None:
         if message.method == "BYE":
--- a/tests/server_side.py
+++ b/tests/server_side.py
@@ -46,7 +46,7 @@
 
     def release(self, *_) -> None: ...
 
-    def wait_for_release(self, *_) -> bool:
+    def wait_for_delivery(self, *_) -> bool:
         return False
 
     def remove_call(self, *_) -> None: ...
--- a/tests/test_ended_connections.py
+++ b/tests/test_ended_connections.py
@@ -268,7 +268,7 @@
 def test_a_release_behind_the_end_is_confirmed_while_that_is_possible(monkeypatch):
     async def play(rig: Connections) -> None:
         await rig.establish()
-        rig.callers.release = lambda origin, call_id, cause, on_sent: on_sent()
+        rig.callers.release = lambda origin, release: release.on_delivered()
         rig.accepted[0].sendall(NOISE + b"x" * 10_000 + RELEASE)
         await rig.until(lambda: rig.exchange.established_calls == 0)
         assert sip.response(200, "OK", next(sip.Parser().feed(RELEASE))) in rig.received()
--- a/tests/test_releases_behind_unreadable_messages.py
+++ b/tests/test_releases_behind_unreadable_messages.py
@@ -63,10 +63,10 @@
         self.told: list[ToldRelease] = []
         self._clock_ms = clock_ms
 
-    def release(self, origin, call_id, cause, on_sent=None) -> None:
-        self.told.append(ToldRelease(call_id, cause, self._clock_ms()))
-        if on_sent is not None:
-            on_sent()
+    def release(self, origin, release) -> None:
+        self.told.append(ToldRelease(release.call_id, release.cause, self._clock_ms()))
+        if release.on_delivered is not None:
+            release.on_delivered()
 
 
 @dataclass(eq=False)
--- a/tests/test_releases_to_callers.py
+++ b/tests/test_releases_to_callers.py
@@ -7,17 +7,20 @@
 import socket
 from collections.abc import Callable, Iterator
 
+import pytest
 from race_conditions import ID, WAIT_S, CallerSide, run_coroutine
 from server_side import ServerSide
 
 from canvasplank.codecs import isup, sip
+from canvasplank.exchange.call_records import CallerRelease
 from canvasplank.network.caller_pool import IDLE_CHECK_INTERVAL_MS
 from canvasplank.network.caller_releases import (
+    CHECK_INTERVAL_MS,
     MAX_FOREIGN_SENDS,
     MAX_RETRY_AGE_MS,
-    RETRY_CHECK_INTERVAL_MS,
     RETRY_DELAY_MS,
 )
+from canvasplank.network.release_retransmission import CONFIRMATION_WINDOW_MS
 
 SERVER = "s-a"
 OTHER_ID = "cc" * 8
@@ -62,37 +65,84 @@
             await asyncio.sleep(0.005)
 
 
-def test_a_release_counts_as_passed_on_only_once_it_is_written_to_a_caller():
-    """It was confirmed to the server while it waited for a connection, and lost if the process ended then."""
+def test_a_release_counts_as_delivered_only_once_its_caller_has_confirmed_it():
+    """It was confirmed to the server while it waited for a connection, and lost if the process ended then.
+
+    Later it was confirmed as it was written, and lost if the caller closed that connection just then.
+    """
 
     async def run() -> None:
-        passed_on: list[int] = []
+        delivered: list[int] = []
         with listening_caller_side() as caller_side:
 
             def release(number: int) -> None:
                 caller_side.exchange.on_released_by_server(
-                    SERVER, ID, 16, None, lambda: passed_on.append(number)
+                    SERVER, ID, 16, None, lambda: delivered.append(number)
                 )
 
             (await calling_caller(caller_side)).close()
             await all_are_gone(caller_side)
             release(1)
             release(2)  # the server sends it again, on another connection: the first may have ended
-            assert passed_on == []
+            assert delivered == []
             peer = await calling_caller(caller_side, pending=isup.release(ID, 16))
-            assert passed_on == [2]
+            assert delivered == [], "written, which does not mean read"
+            peer.sendall(isup.release_confirmed(ID))
+            async with asyncio.timeout(WAIT_S):
+                while not delivered:
+                    await asyncio.sleep(0.005)
+            assert delivered == [2]
             release(3)
-            assert passed_on == [2, 3], "the caller has been notified"
+            assert delivered == [2, 3], "its caller has it"
+            peer.close()
+
+    run_coroutine(run())
+
+
+@pytest.mark.parametrize(
+    ("on_its_connection", "window_ms"), [(True, CONFIRMATION_WINDOW_MS), (False, MAX_RETRY_AGE_MS)]
+)
+def test_a_release_that_nobody_confirms_counts_as_delivered_after_a_while(on_its_connection, window_ms):
+    """Confirmations are free; but a peer of another connection than the call's may not know the call."""
+
+    async def run() -> None:
+        delivered: list[str] = []
+        with listening_caller_side() as caller_side:
+            peer = await calling_caller(caller_side)
+            [stream] = caller_side.callers.streams
+            origin = stream if on_its_connection else None
+            release = CallerRelease(ID, 16, lambda: delivered.append(ID))
+            caller_side.callers.releases.send(origin, release)
+            assert await received(peer, len(RELEASED)) == RELEASED
+            await caller_side.let_pass(window_ms - 1)
+            assert delivered == []
+            await caller_side.let_pass(1 + CHECK_INTERVAL_MS)
+            assert delivered == [ID]
+            peer.close()
+
+    run_coroutine(run())
+
+
+def test_a_release_never_counts_as_delivered_while_the_only_connection_has_ended():
+    async def run() -> None:
+        delivered: list[str] = []
+        with listening_caller_side() as caller_side:
+            peer = await calling_caller(caller_side)
+            [stream] = caller_side.callers.streams
+            caller_side.callers.releases.send(stream, CallerRelease(ID, 16, lambda: delivered.append(ID)))
             peer.close()
+            await all_are_gone(caller_side)
+            await caller_side.let_pass(MAX_RETRY_AGE_MS)
+            assert delivered == []
 
     run_coroutine(run())
 
 
-def test_a_server_gets_the_confirmation_once_its_release_is_passed_on(monkeypatch):
+def test_a_server_gets_the_confirmation_once_its_release_is_delivered(monkeypatch):
     async def run() -> None:
         rig = ServerSide(monkeypatch)
         waiting: list[Callable[[], None]] = []
-        rig.callers.release = lambda origin, release: waiting.append(release.on_sent)
+        rig.callers.release = lambda origin, release: waiting.append(release.on_delivered)
         try:
             await rig.start()
             peer = rig.peers[SERVER]
@@ -186,10 +236,10 @@
             assert next_timer_ms(caller_side) == IDLE_CHECK_INTERVAL_MS
             caller = await calling_caller(caller_side)
             caller_side.exchange.on_released_by_server(SERVER, ID, 16)
-            assert next_timer_ms(caller_side) == RETRY_CHECK_INTERVAL_MS
+            assert next_timer_ms(caller_side) == CHECK_INTERVAL_MS
             assert await received(caller, len(RELEASED)) == RELEASED
-            await caller_side.let_pass(RETRY_CHECK_INTERVAL_MS)
-            assert next_timer_ms(caller_side) == RETRY_CHECK_INTERVAL_MS, "it may yet be sent again"
+            await caller_side.let_pass(CHECK_INTERVAL_MS)
+            assert next_timer_ms(caller_side) == CHECK_INTERVAL_MS, "it may yet be sent again"
             await caller_side.let_pass(MAX_RETRY_AGE_MS)
             assert next_timer_ms(caller_side) == IDLE_CHECK_INTERVAL_MS
             caller.close()
--- /dev/null
+++ b/tests/two_processes.py
@@ -0,0 +1,167 @@
+"""Two processes of the program, one after or beside the other, and call servers that follow the protocol."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from exchange_replay import SETTINGS
+from race_conditions import ROOT, WAIT_S
+from test_operations import free_port
+
+from canvasplank.codecs import isup, sip
+
+READ_BYTES = 65_536
+ANSWER = b"v=0 answer"
+
+
+@dataclass
+class StandInServer:
+    """A call server that sends each release as the protocol says, step by step as the test has it.
+
+    That is on the connection of the set-up, or else on any open one, and once on the next one opened as well:
+    where ``stops_when_confirmed``, only if nobody has confirmed the release by then.
+    """
+
+    stops_when_confirmed: bool = True
+    listener: socket.socket = field(default_factory=lambda: socket.create_server(("127.0.0.1", 0)))
+    connections: list[socket.socket] = field(default_factory=list)  # open, the oldest first
+    established: dict[str, socket.socket] = field(default_factory=dict)  # by call, on which it was set up
+    to_send_again: set[str] = field(
+        default_factory=set
+    )  # calls whose release goes on the next connection, too
+    _parsers: dict[socket.socket, sip.Parser] = field(default_factory=dict)
+
+    def accept(self) -> socket.socket:
+        """Take the next connection, and send on it what is to be sent again."""
+        self.listener.settimeout(WAIT_S)
+        connection, _ = self.listener.accept()
+        connection.settimeout(WAIT_S)
+        self.connections.append(connection)
+        self._parsers[connection] = sip.Parser()
+        released, self.to_send_again = self.to_send_again, set()
+        for call_id in sorted(released):
+            self._write_release(connection, call_id)
+        return connection
+
+    def read_until(self, connection: socket.socket, method: str) -> sip.Message:
+        """Take messages up to the first request of this method."""
+        while True:
+            data = connection.recv(READ_BYTES)
+            assert data, f"wanted {method}, came the end"
+            for message in self._parsers[connection].feed(memoryview(data)):
+                self._on_message(message)
+                if message.method == method and not message.status:
+                    return message
+
+    def read_to_the_end(self, connection: socket.socket) -> None:
+        """Take all messages up to the end of the connection, and close it."""
+        while data := connection.recv(READ_BYTES):
+            for message in self._parsers[connection].feed(memoryview(data)):
+                self._on_message(message)
+        self.connections.remove(connection)
+        connection.close()
+
+    def answer(self, connection: socket.socket, invite: sip.Message) -> None:
+        """Establish the call of this set-up."""
+        self.established[invite.call_id] = connection
+        head = sip.response(200, "OK", invite)
+        length = b"Content-Length: %d" % len(ANSWER)
+        connection.sendall(head.replace(b"Content-Length: 0", length) + ANSWER)
+
+    def release(self, call_id: str) -> None:
+        """End a call that is established."""
+        connection = self.established.pop(call_id)
+        self.to_send_again.add(call_id)
+        self._write_release(connection if connection in self.connections else self.connections[-1], call_id)
+
+    def close(self) -> None:
+        for each in [self.listener, *self.connections]:
+            each.close()
+
+    def _write_release(self, connection: socket.socket, call_id: str) -> None:
+        connection.sendall(sip.request("BYE", "exchange", call_id, 2, {"Reason": "Q.850;cause=16"}))
+
+    def _on_message(self, message: sip.Message) -> None:
+        if message.method == "BYE" and message.status and self.stops_when_confirmed:
+            self.to_send_again.discard(message.call_id)
+        elif message.method == "BYE" and not message.status:
+            self.established.pop(message.call_id, None)
+
+
+class Deployment:
+    """Processes that share one configuration and one address for callers, and their call servers."""
+
+    def __init__(self, folder: Path, servers: list[StandInServer], settings: dict | None = None) -> None:
+        self._folder, self.servers = folder, servers
+        self.processes: list[subprocess.Popen] = []
+        self.port = free_port()
+        entries = [
+            {
+                "instanceId": f"s-{number}",
+                "hostPort": f"127.0.0.1:{server.listener.getsockname()[1]}",
+                "cell": number,
+                "lifecycle": "ready",
+                "startedAtMs": 0,
+                "zone": "z",
+                "new": True,
+            }
+            for number, server in enumerate(servers)
+        ]
+        configuration = {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.port}",
+            "seed": "8c1f30d27a5be964",
+            "settings": settings or SETTINGS,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 64},
+            "board": f"127.0.0.1:{free_port()}",
+            "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"reset": True, "instances": entries}}]},
+        }
+        (folder / "config.json").write_text(json.dumps(configuration))
+
+    def start(self) -> subprocess.Popen:
+        """Start one more process, and wait until it listens."""
+        log = self._folder / f"log-{len(self.processes)}"
+        environment = {name: value for name, value in os.environ.items() if not name.startswith("EDGE_")}
+        with log.open("wb") as output:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "canvasplank"],
+                cwd=ROOT,
+                stderr=output,
+                stdout=output,
+                env=environment | {"EDGE_CONFIG": str(self._folder / "config.json")},
+            )
+        self.processes.append(process)
+        deadline_s = time.monotonic() + WAIT_S
+        while "listens on" not in log.read_text():
+            assert process.poll() is None and time.monotonic() < deadline_s, log.read_text()
+            time.sleep(0.01)
+        return process
+
+    def caller(self) -> socket.socket:
+        """A new connection from a caller."""
+        return socket.create_connection(("127.0.0.1", self.port), timeout=WAIT_S)
+
+    def stop(self) -> None:
+        for process in self.processes:
+            process.kill()
+            process.wait()
+        for server in self.servers:
+            server.close()
+
+
+def read_message(peer: socket.socket, kind: isup.Kind) -> isup.Message:
+    """The next message of this kind at a caller."""
+    parser = isup.Parser()
+    while True:
+        data = peer.recv(1)  # so that nothing of the message after it is taken
+        assert data, f"wanted {kind.name}, came the end"
+        for message in parser.feed(memoryview(data)):
+            if message.kind == kind:
+                return message
