On an upgrade the new process collects the releases that the old one left

Callers saw a call go on although its server had ended it, where they closed their only connection as the release was written to it and the process was upgraded: the new one runs beside the old.

The new process had its connections before the old one ended, and opened no other, so what the old one could not deliver was sent to nobody, whether or not it was confirmed.

A process that finds its address in use as it starts connects to each server once more 5 s later. The new connection takes over once it is up, and the one before it stays for the calls set up on it, so no set-up waits for the renewal.

Not taken: renewing at every start, which would double the first connections of a fleet that starts at once; a message between the two processes, which the platform rules out.

--- a/canvasplank/network/listener.py
+++ b/canvasplank/network/listener.py
@@ -16,6 +16,17 @@
 EXHAUSTION_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
+def is_port_in_use(host: str, port: int) -> bool:
+    """Whether another process listens there, such as the old version on an upgrade."""
+    with socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, port))  # not shared, so this fails beside a listener
+        except OSError as error:
+            return error.errno == errno.EADDRINUSE
+        return False
+
+
 class Listener:
     """Accepts connections, a limited number in one go, and gives each a protocol of its own.
 
--- a/canvasplank/network/server_connections.py
+++ b/canvasplank/network/server_connections.py
@@ -90,6 +90,17 @@
             self._limits.connect_timeout_ms, lambda reason: self._on_connection_failed(stream, reason)
         )
 
+    def renew(self, peer: Peer) -> None:
+        """Connect once more, and use that connection once it is up, in place of the current one.
+
+        A server sends the releases that no process has confirmed on the next connection that is opened.
+        """
+        if self.disconnecting or peer.current is None or not peer.current.is_open:
+            return  # the next one is made anyway
+        stream = ServerStream(self, peer)
+        stream.renews_current = True
+        stream.connect(self._limits.connect_timeout_ms, lambda _reason: stream.cancel_connecting())
+
     def fail_connecting(self, peer: Peer, reason: str) -> None:
         """Give up the attempt to connect that is under way, if there is one."""
         if peer.current is not None and peer.current.connecting is not None:
@@ -122,8 +133,13 @@
     def on_connected(self, stream: ServerStream) -> None:
         """See ``ServerStreamOwner``."""
         peer = stream.peer
+        if stream.renews_current and not self.is_listed(peer):
+            stream.close_writing()  # the server has gone meanwhile
+            return
         peer.backoff.on_success()
         peer.streams.append(stream)
+        if stream.renews_current and (peer.current is None or peer.current.is_open):
+            peer.current = stream
         self.exchange.counters.add("sockets.servers")
         # Releases first: a pending one for an earlier attempt would end the call's next.
         for call_id, pending in peer.take_pending_releases():
--- a/canvasplank/network/server_stream.py
+++ b/canvasplank/network/server_stream.py
@@ -147,6 +147,7 @@
         self.unconfirmed = UnconfirmedReleases()
         self.established: set[str] = set()  # calls set up here: the server releases them here
         self.connecting: ConnectionAttempt | None = None
+        self.renews_current = False  # whether it takes the current one's place once it is up
         self.connected_ms = self.scheduler.now_ms
         self._reported_ms = -1.0  # when the circuits were last reported here
         self._report_count = 0
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -82,6 +82,12 @@
         """Take a new limit of the program's sockets."""
         self._connections.limit(sockets)
 
+    def renew_connections(self) -> None:
+        """Connect to every server once more, for the releases that a process before this one left."""
+        for peer in self._peers.values():
+            if self._connections.is_listed(peer):
+                self._connections.renew(peer)
+
     def disconnect(self) -> None:
         """Shut down: act on no message any more, and end every connection."""
         self._connections.disconnect()
--- a/canvasplank/program.py
+++ b/canvasplank/program.py
@@ -29,6 +29,7 @@
 from canvasplank.extensions.registry import load_enabled_extensions
 from canvasplank.network.callers import Callers
 from canvasplank.network.discovery import Discovery
+from canvasplank.network.listener import is_port_in_use
 from canvasplank.network.servers import Servers
 from canvasplank.network.stream import BufferBudget
 from canvasplank.policy import Controller
@@ -39,6 +40,8 @@
 
 LOG = logging.getLogger(__name__)
 MIB = 2**20
+# An old version beside this process is told to stop once this one is ready, and has ended by then.
+PREDECESSOR_END_MS = 5000.0
 # Changes of these hold from the next start on.
 APPLIED_AT_START = ("name", "listen", "admin", "settings")
 
@@ -105,7 +108,10 @@
             await extension.start()
         self.discovery.start()
         if self._serving:
-            self._callers.listen(*parse_address(self.configuration.listen))
+            host, port = parse_address(self.configuration.listen)
+            if is_port_in_use(host, port):
+                self.scheduler.call_later(PREDECESSOR_END_MS, self.servers.renew_connections)
+            self._callers.listen(host, port)
             self._listening = True
             LOG.info("%s listens on %s", self.configuration.name, self.configuration.listen)
         if self.configuration.admin and self._serving:
