What is cancelled at the end of a process is released, so its call cannot fail twice

Callers saw a second final answer: a call that failed at the end of a process got a release with a cause from the process that came next.

Cause: a process that ends fails what is open, cancels it, and in the same iteration ends its connections to servers, acting on nothing that they send from then on. Where the answer crossed the cancellation, or that was lost in a connection that hung, nobody released the call. Its server ended it later, on any open connection; the next process cannot tell such a release from that of a call that its caller counts on.

Left: a server to which no connection passes anything on at the end of the process.

--- a/canvasplank/network/server_connections.py
+++ b/canvasplank/network/server_connections.py
@@ -65,9 +65,13 @@
         """Shut down: act on nothing more, so that no release is confirmed that cannot be passed on.
 
         Connections are closed for writing and read on, so that what was sent last is not lost to a reset.
+        What was cancelled just before is released, too: its answer may be on its way, and the server would
+        release the call to the process that comes next, whose caller has had its final answer.
         """
         self.disconnecting = True
         self._ended.close()
+        for peer in self.peers.values():
+            peer.release_cancelled()
         for stream in [s for peer in self.peers.values() for s in peer.streams]:
             stream.close_writing()
 
--- a/canvasplank/network/server_stream.py
+++ b/canvasplank/network/server_stream.py
@@ -12,6 +12,7 @@
 from canvasplank import interface as api
 from canvasplank.codecs import sip
 from canvasplank.codecs.errors import BadMessageError
+from canvasplank.codecs.q850 import ReleaseCause
 from canvasplank.codecs.sip_recovery import MessageFinder
 from canvasplank.exchange.call_records import CallRecord
 from canvasplank.exchange.exchange import Exchange
@@ -112,6 +113,14 @@
         self.pending_releases.clear()
         return pending
 
+    def release_cancelled(self) -> None:
+        """Release the attempts whose answer may cross their cancellation, with nobody to read it any more."""
+        for stream in self.streams:
+            since_ms = stream.last_received_ms - CONFIRMATION_WINDOW_MS
+            for call_id, cause in stream.cancelled.take_sent_after(since_ms):
+                carrier = self.current if self.current is not None and self.current.is_open else stream
+                carrier.send_release(call_id, cause)
+
     def resend_unconfirmed(self, stream: ServerStream) -> None:
         """Send again what may never have been read on a connection that is no longer the current one."""
         since_ms = stream.last_received_ms - CONFIRMATION_WINDOW_MS
@@ -145,6 +154,8 @@
         self.open_set_ups: dict[str, int] = {}  # attempt numbers of the set-ups sent here and unanswered
         self.waiting: dict[str, WaitingSetUp] = {}  # until it is up
         self.unconfirmed = UnconfirmedReleases()
+        # Attempts cancelled here that have not ended, each with the release that is due if it was answered.
+        self.cancelled = UnconfirmedReleases()
         self.established: set[str] = set()  # calls set up here: the server releases them here
         self.connecting: ConnectionAttempt | None = None
         self.renews_current = False  # whether it takes the current one's place once it is up
@@ -265,6 +276,7 @@
         for each in self.peer.streams:
             # Or the release of an earlier attempt here, sent once more, would end the call.
             each.unconfirmed.pop(call.id, None)
+            each.cancelled.pop(call.id, None)
         if self._unanswered_since_ms is None:
             self._unanswered_since_ms = self.scheduler.now_ms
         self.open_set_ups[call.id] = attempt
@@ -274,6 +286,12 @@
         self.write(sip.request("INVITE", call.number, call.id, attempt + 1, headers, call.description))
         self._owner.exchange.counters.by_class("attempts", call.class_name)
 
+    def send_cancel(self, call_id: str, attempt: int, on_sent: Callable[[], None]) -> None:
+        """Write a CANCEL; ``on_sent``: see ``call_when_sent``."""
+        self.cancelled.add(call_id, ReleaseCause.NORMAL_UNSPECIFIED, self.scheduler.read_clock())
+        self.write(sip.request("CANCEL", "call", call_id, attempt + 1))
+        self.call_when_sent(on_sent)
+
     def send_release(self, call_id: str, cause: int, on_sent: Callable[[], None] | None = None) -> None:
         """Write a BYE with its Q.850 cause (RFC 3326); ``on_sent``: see ``call_when_sent``."""
         self._owner.exchange.counters.add("sent.releases_to_servers")
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -117,8 +117,7 @@
         for stream in streams:
             attempt = stream.open_set_ups.pop(call_id, None)
             if attempt is not None:
-                stream.write(sip.request("CANCEL", "call", call_id, attempt + 1))
-                stream.call_when_sent(on_sent)
+                stream.send_cancel(call_id, attempt, on_sent)
                 return
         if peer is None or not peer.wait_for_release(call_id, on_sent):
             on_sent()
@@ -215,6 +214,7 @@
         if refused and attempt is not None and message.is_of_other_set_up(attempt + 1):
             return  # the refusal of an earlier attempt, sent again or late
         stream.open_set_ups.pop(call_id, None)
+        stream.cancelled.pop(call_id, None)
         if message.status < MULTIPLE_CHOICES:
             stream.established.add(call_id)  # where the exchange takes it back, its release removes it again
             self.exchange.on_established(server_id, call_id, attempt, message.body)
--- a/tests/test_releases_across_processes.py
+++ b/tests/test_releases_across_processes.py
@@ -11,11 +11,14 @@
 from pathlib import Path
 
 import pytest
-from race_conditions import ID, WAIT_S, run_coroutine, set_up
+from exchange_replay import SETTINGS
+from race_conditions import ID, WAIT_S, read_to_the_end, run_coroutine, set_up
 from server_side import ServerSide, offered_call
 from two_processes import Deployment, StandInServer, read_message
 
 from canvasplank.codecs import isup, sip
+from canvasplank.network.release_retransmission import CONFIRMATION_WINDOW_MS
+from canvasplank.network.server_stream import ServerStream
 
 STOPS_WHEN_CONFIRMED = pytest.mark.parametrize(
     "stops_when_confirmed", [True, False], ids=["till confirmed", "in any case"]
@@ -82,6 +85,110 @@
         assert_released(deployment)
 
 
+# The process fails what is open 1.9 s after SIGTERM, before it takes a connection for silent.
+BRIEF_SETTINGS = SETTINGS | {
+    "profiles": [profile | {"aim_ms": 1500.0, "deadline_ms": 1500.0} for profile in SETTINGS["profiles"]],
+    "family_info": SETTINGS["family_info"] | {"resend_ms": 8000.0},
+}
+MARKER_ID = "dd" * 8
+
+
+def failed_by_the_end_of_the_process(deployment: Deployment, caller: socket.socket) -> None:
+    """The process is told to stop, and fails the caller's call as it ends."""
+    deployment.processes[0].send_signal(signal.SIGTERM)
+    assert read_message(caller, isup.Kind.RELEASE).call_id == ID
+    read_to_the_end(caller)
+
+
+def assert_not_released_by_the_next_process(deployment: Deployment, server: StandInServer) -> None:
+    """The next process starts, and hands its callers what the server still releases: not a failed call."""
+    deployment.start()
+    connection = server.accept()
+    server.established[MARKER_ID] = connection
+    for call_id in list(server.established):
+        server.release(call_id)
+    with deployment.caller() as caller:
+        assert read_message(caller, isup.Kind.RELEASE).call_id == MARKER_ID
+
+
+def test_a_call_whose_answer_crosses_its_cancellation_at_the_end_of_the_process_fails_once(tmp_path):
+    """Its server established it; the next process passed its release on, a second final answer."""
+    server = StandInServer()
+    deployment = Deployment(tmp_path, [server], BRIEF_SETTINGS)
+    try:
+        old = deployment.start()
+        connection = server.accept()
+        with deployment.caller() as caller:
+            caller.sendall(set_up())
+            invite = server.read_until(connection, "INVITE")
+            failed_by_the_end_of_the_process(deployment, caller)
+        server.answer(connection, invite)  # before it has read the cancellation
+        assert old.wait(WAIT_S) == 0
+        server.read_all_to_the_end()
+        assert_not_released_by_the_next_process(deployment, server)
+    finally:
+        deployment.stop()
+
+
+def test_a_call_whose_cancellation_hangs_at_the_end_of_the_process_fails_once(tmp_path):
+    """The connection of its set-up passes nothing on any more; another is up by the end of the process."""
+    server = StandInServer()
+    deployment = Deployment(tmp_path, [server])
+    try:
+        old = deployment.start()
+        hung = server.accept()
+        with deployment.caller() as caller:
+            caller.sendall(set_up())
+            server.read_until(hung, "INVITE")
+            server.established[ID] = hung  # and its answer is lost
+            server.accept()
+            failed_by_the_end_of_the_process(deployment, caller)
+        assert old.wait(WAIT_S) == 0
+        server.connections.remove(hung)
+        server.read_all_to_the_end()
+        hung.close()
+        assert_not_released_by_the_next_process(deployment, server)
+    finally:
+        deployment.stop()
+
+
+REFUSED = f"SIP/2.0 487 X\r\nCall-ID: {ID}\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n".encode()
+REPORTED = sip.request("NOTIFY", "exchange", "0" * 16, 1)
+
+
+@pytest.mark.parametrize(
+    ("after_ms", "received", "released"),
+    [
+        pytest.param(0.0, b"", True, id="nothing received"),
+        pytest.param(CONFIRMATION_WINDOW_MS - 1, REPORTED, True, id="too soon to tell"),
+        pytest.param(CONFIRMATION_WINDOW_MS, REPORTED, False, id="no answer can be on its way"),
+        pytest.param(0.0, REFUSED, False, id="refused"),
+    ],
+)
+def test_what_was_cancelled_is_released_at_the_end_where_its_answer_may_come_yet(
+    monkeypatch, after_ms: float, received: bytes, released: bool
+):
+    async def run() -> bytes:
+        async with offered_call(monkeypatch) as rig:
+            stream, peer = rig.first_stream(), rig.peers[rig.first_server]
+            rig.scheduler.begin_iteration()
+            rig.exchange.on_released_by_caller(ID, 16)
+            await rig.step(after_ms)
+            stream.buffer_updated(fill(stream, received))
+            rig.servers.disconnect()
+            return await asyncio.get_running_loop().run_in_executor(None, read_to_the_end, peer)
+
+    sent = run_coroutine(run())
+    assert b"CANCEL" in sent
+    assert (b"BYE" in sent) == released
+
+
+def fill(stream: ServerStream, data: bytes) -> int:
+    """Have these bytes received on a connection."""
+    stream.get_buffer(len(data))[: len(data)] = data
+    return len(data)
+
+
 def test_a_renewed_connection_takes_over_and_the_old_one_stays_for_its_calls(monkeypatch):
     async def run() -> None:
         async with offered_call(monkeypatch) as rig:
--- a/tests/two_processes.py
+++ b/tests/two_processes.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
+import select
 import socket
 import subprocess
 import sys
@@ -62,18 +64,27 @@
 
     def read_to_the_end(self, connection: socket.socket) -> None:
         """Take all messages up to the end of the connection, and close it."""
-        while data := connection.recv(READ_BYTES):
-            for message in self._parsers[connection].feed(memoryview(data)):
-                self._on_message(message)
+        with contextlib.suppress(ConnectionResetError):  # its peer has ended with something unread
+            while data := connection.recv(READ_BYTES):
+                for message in self._parsers[connection].feed(memoryview(data)):
+                    self._on_message(message)
         self.connections.remove(connection)
         connection.close()
 
+    def read_all_to_the_end(self) -> None:
+        """Take all messages of a process that has ended, on the connections that wait to be taken as well."""
+        while select.select([self.listener], [], [], 0.0)[0]:
+            self.accept()
+        for connection in list(self.connections):
+            self.read_to_the_end(connection)
+
     def answer(self, connection: socket.socket, invite: sip.Message) -> None:
         """Establish the call of this set-up."""
         self.established[invite.call_id] = connection
         head = sip.response(200, "OK", invite)
         length = b"Content-Length: %d" % len(ANSWER)
-        connection.sendall(head.replace(b"Content-Length: 0", length) + ANSWER)
+        with contextlib.suppress(OSError):  # it has ended, which has not been read yet
+            connection.sendall(head.replace(b"Content-Length: 0", length) + ANSWER)
 
     def release(self, call_id: str) -> None:
         """End a call that is established."""
@@ -86,7 +97,8 @@
             each.close()
 
     def _write_release(self, connection: socket.socket, call_id: str) -> None:
-        connection.sendall(sip.request("BYE", "exchange", call_id, 2, {"Reason": "Q.850;cause=16"}))
+        with contextlib.suppress(OSError):  # it has ended, which has not been read yet
+            connection.sendall(sip.request("BYE", "exchange", call_id, 2, {"Reason": "Q.850;cause=16"}))
 
     def _on_message(self, message: sip.Message) -> None:
         if message.method == "BYE" and message.status and self.stops_when_confirmed:
