Emulated call server: spoiled answers, late notice of resets, a record of its connections

Need: the soak is to show releases that are lost behind messages that cannot be read, and to say what the server did and when.

Change: a message that cannot be read may take the place of the next answer; its call counts as answered. The end of a connection is noticed late after a reset, too, and not only after an orderly end. Accepts, ends, their notice, releases and unreadable messages are recorded with their Unix times.

Tests: the release on its connection, on the next one opened and on no other; on any once its own has ended; not again once confirmed; late notice after both kinds of end; each kind of unreadable message on the newest and the oldest connection and as an answer; the record.

--- a/emulators/server.py
+++ b/emulators/server.py
@@ -35,6 +35,16 @@
     cost: float = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionEvent:
+    """Something that happened on a connection, as the server saw it."""
+
+    at_s: float  # Unix
+    connection: int  # its peer's port
+    text: str
+    call_id: str = ""  # of the call whose release was written; empty: it concerns all calls
+
+
 @dataclass
 class CallServer:
     """One call server; ``speed`` (1: as in ``capacity_per_s``) and ``silent`` may be changed at any time.
@@ -66,7 +76,9 @@
     _job_queued: asyncio.Event = field(default_factory=asyncio.Event)
     _calls: dict[str, asyncio.Task[None]] = field(default_factory=dict)
     released_at_s: dict[str, float] = field(default_factory=dict)  # first, by call, in Unix time
+    events: list[ConnectionEvent] = field(default_factory=list)
     _writers: list[asyncio.StreamWriter] = field(default_factory=list)  # open now, the newest last
+    _spoils_answer: UnreadableKind | None = None  # the next one
     # Calls whose release goes out on the next connection as well, unless it is confirmed before.
     _to_release_again: dict[str, None] = field(default_factory=dict)
     _tasks: Tasks = field(default_factory=Tasks)
@@ -123,7 +135,12 @@
     def _answer(self, writer: asyncio.StreamWriter, invite: sip.Message) -> None:
         body = b"answer " + invite.call_id.encode()
         head = sip.response(200, "OK", invite)
-        self._send(writer, head.replace(b"Content-Length: 0", b"Content-Length: %d" % len(body)) + body)
+        answer = head.replace(b"Content-Length: 0", b"Content-Length: %d" % len(body)) + body
+        if self._spoils_answer is not None:
+            answer = unreadable_message(self._spoils_answer, invite.call_id)
+            self._note(writer, f"writes an answer that is unreadable: {self._spoils_answer.value}")
+            self._spoils_answer = None
+        self._send(writer, answer)
         self.established.add(invite.call_id)
         self._calls[invite.call_id] = self._tasks.keep(self._hold(writer, invite.call_id))
 
@@ -140,29 +157,48 @@
     def spoil(self, kind: UnreadableKind, *, newest: bool = True) -> None:
         """Write a message that cannot be read to the newest open connection, or to the oldest."""
         if self._writers:
-            self._send(self._writers[-1 if newest else 0], unreadable_message(kind, "0" * 16))
+            writer = self._writers[-1 if newest else 0]
+            self._note(writer, f"writes what is unreadable: {kind.value}")
+            self._send(writer, unreadable_message(kind, "0" * 16))
+
+    def spoil_next_answer(self, kind: UnreadableKind) -> None:
+        """Write a message that cannot be read in place of the next answer; its call counts as answered."""
+        self._spoils_answer = kind
+
+    def _note(self, writer: asyncio.StreamWriter, text: str, call_id: str = "") -> None:
+        connection = writer.get_extra_info("peername")[1]
+        self.events.append(ConnectionEvent(time.time(), connection, text, call_id))
 
     def _release(self, writer: asyncio.StreamWriter, call_id: str) -> None:
+        self._note(writer, "writes a release", call_id)
         self._send(writer, sip.request("BYE", "caller", call_id, 2, {"Reason": "Q.850;cause=16"}))
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        parser = sip.Parser()
         self.connections += 1
+        self._note(writer, "accepts it")
         self.accepted.append(asyncio.get_running_loop().time())
         self._writers.append(writer)
         self._tasks.keep(self._report_load(writer))
         released, self._to_release_again = self._to_release_again, {}
         for call_id in released:  # what was sent on another connection may never have been read
             self._release(writer, call_id)
-        with contextlib.suppress(OSError, asyncio.CancelledError):  # cancelled by ``stop``: no error to print
-            while data := await reader.read(16_384):
-                for message in parser.feed(data):
-                    self._on_message(writer, message)
+        with contextlib.suppress(asyncio.CancelledError):  # by ``stop``: no error to print
+            await self._read(reader, writer)
+            self._note(writer, "its peer has ended it")
             await asyncio.sleep(self.notices_end_after_s)
+        self._note(writer, "notices its end")
         self.connections -= 1
         self._writers.remove(writer)
         writer.close()
 
+    async def _read(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Act on messages until the peer ends the connection or resets it."""
+        parser = sip.Parser()
+        with contextlib.suppress(OSError):
+            while data := await reader.read(16_384):
+                for message in parser.feed(data):
+                    self._on_message(writer, message)
+
     async def _report_load(self, writer: asyncio.StreamWriter) -> None:
         while not writer.is_closing():
             headers = {"X-Gauges": f"free:{self.lines - len(self._calls)};size:{self.lines}"}
