Soak: a release counts from when its server wrote it, read by the proxy or not

Cause: the observed link counted a release of a call server only once the proxy had confirmed it, so one that was lost with its connection broke no rule.

Change: where the link was not disturbed, 'release to caller' counts from the server's first writing (`release_written_s`), or as before where the caller did not take the call for established then; whatever broke the rule before still does. Behind a message that cannot be read the link parses nothing more that the server sends, as the proxy does, and takes an answer that is filled up with what came after it for unreadable; what the proxy sends is noted on. A set-up ends as the proxy ends its connection, by the protocol ('when a connection closes, the set-ups open on it are given up'), and not only once a server that notices this late has ended its own side.

--- a/emulators/link.py
+++ b/emulators/link.py
@@ -23,6 +23,9 @@
     def on_data(self, way: str, data: bytes) -> None:
         """Bytes were read from the client (``there``), or are about to be written to it (``back``)."""
 
+    def on_client_ended(self) -> None:
+        """The client has ended it, for writing at least, or has reset it."""
+
     def on_closed(self) -> None:
         """The connection has ended."""
 
@@ -124,8 +127,12 @@
                 data = await reader.read(READ_MAX_BYTES)
                 if observer is not None and way == "there" and data:
                     observer.on_data(way, data)
+                if observer is not None and way == "there" and not data:
+                    observer.on_client_ended()
                 await reads.put(data)
         except OSError as error:
+            if observer is not None and way == "there":
+                observer.on_client_ended()
             await reads.put(error)
 
     async def _pass_on(
--- a/experiments/soak/observed_link.py
+++ b/experiments/soak/observed_link.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from canvasplank.codecs import sip
 from canvasplank.codecs.errors import BadMessageError
@@ -11,6 +11,7 @@
 from verification.call_trace import CallTrace, End, ServerAttempt, ServerCall
 
 OK, MULTIPLE_CHOICES = 200, 300  # RFC 3261 21
+VERSION = b"SIP/2.0"  # in the start line of every message, and in no body
 
 
 class ObservedConnection:
@@ -21,26 +22,41 @@
         self._parsers = {"there": sip.Parser(), "back": sip.Parser()}
         self.open: dict[str, ServerAttempt] = {}
         self.unconfirmed: dict[str, float] = {}  # releases that have passed to the proxy, and when
+        self._unreadable_ways: set[str] = set()  # where a bad message has passed: no message follows it
 
     def on_data(self, way: str, data: bytes) -> None:
         """Bytes have left the proxy, or are about to reach it."""
+        if way in self._unreadable_ways:
+            return
         try:
             for message in self._parsers[way].feed(data):
+                _check_body(message)
                 if way == "there":
                     self._observer.on_request(self, message)
                 else:
                     self._observer.on_response(self, message)
         except BadMessageError as error:
             self._observer.bad_messages.append(str(error))
+            self._unreadable_ways.add(way)
 
-    def on_closed(self) -> None:
-        """It has ended, and with it the set-ups on it."""
+    def on_client_ended(self) -> None:
+        """The proxy has ended it, and given up the set-ups on it, however late the server notices."""
         for attempt in self.open.values():
             attempt.ended_s, attempt.end = time.time(), End.DISCONNECTED
         self.open.clear()
+
+    def on_closed(self) -> None:
+        """It has ended, and with it the set-ups on it."""
+        self.on_client_ended()
         self.unconfirmed.clear()
 
 
+def _check_body(message: sip.Message) -> None:
+    """Raise ``BadMessageError`` for a message that stops short and is filled up with what came after it."""
+    if VERSION in message.body:
+        raise BadMessageError("a message stops short")
+
+
 class ServerObserver:
     """Notes attempts and established calls of one call server in the trace."""
 
@@ -96,6 +112,18 @@
             for call_id, passed_s in connection.unconfirmed.items():
                 self._on_released(call_id, passed_s)
 
+    def note_written_releases(
+        self, written_s: Mapping[str, float], is_disturbed: Callable[[float], bool]
+    ) -> None:
+        """At the end of a run: when the server wrote each release first, unless the link was disturbed then.
+
+        Behind a message that cannot be read, or on a connection that the proxy has ended, none is seen here.
+        """
+        for call_id, at_s in written_s.items():
+            call = self._calls.get(call_id)
+            if call is not None and at_s >= call.established_s and not is_disturbed(at_s):
+                call.release_written_s = at_s
+
     def on_server_gone(self) -> None:
         """Its process has ended, and with it the calls that it held."""
         for call in self._calls.values():
--- a/tests/test_call_rules.py
+++ b/tests/test_call_rules.py
@@ -94,6 +94,21 @@
     t.calls[ID].releases_s = [6.2]
 
 
+def written_release_lost(t: CallTrace) -> None:
+    t.established[0].release_written_s, t.established[0].released_by_server_s = 5.0, None
+    t.calls[ID].releases_s.clear()
+
+
+def written_release_passed_late(t: CallTrace) -> None:
+    """It was read on the second connection that it was written to, long after the first."""
+    t.established[0].release_written_s = 3.9
+
+
+def release_observed_though_written_before_the_caller_had_its_answer(t: CallTrace) -> None:
+    t.established[0].release_written_s = 1.995
+    t.calls[ID].releases_s.clear()
+
+
 def server_not_told(t: CallTrace) -> None:
     t.calls[ID].abandoned_s, t.calls[ID].releases_s = 3.0, []
     t.established[0].released_by_server_s = None
@@ -162,6 +177,9 @@
     sent_to_drained_server: "drained server",
     caller_not_told: "release to caller",
     caller_told_late: "release to caller",
+    written_release_lost: "release to caller",
+    written_release_passed_late: "release to caller",
+    release_observed_though_written_before_the_caller_had_its_answer: "release to caller",
     server_not_told: "release to server",
     server_told_late: "release to server",
     connection_refused: "door",
--- a/verification/call_rules.py
+++ b/verification/call_rules.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from verification.call_trace import Answer, CallerCall, CallTrace, Drain, End, ServerAttempt
+from verification.call_trace import Answer, CallerCall, CallTrace, Drain, End, ServerAttempt, ServerCall
 
 SLACK_S = 0.05  # the platform's, on every time limit
 RELEASE_LIMIT_S = 1.0  # for a release to be passed on
@@ -108,9 +108,9 @@
         call = trace.calls.get(served.call_id)
         if call is None:
             continue
-        ended_s = served.released_by_server_s
+        ended_s = _end_by_server_s(call, served)
         limit_s = _release_limit_s(trace, ended_s)
-        if ended_s is not None and _is_standing(call, ended_s) and ended_s + limit_s < trace.ended_s:
+        if ended_s is not None and ended_s + limit_s < trace.ended_s:
             told_s = min(call.releases_s, default=None)
             if told_s is None or told_s > ended_s + limit_s:
                 text = f"call {call.call_id} was ended by {served.server}, and its caller was not told"
@@ -144,6 +144,12 @@
     return limit_s + SLACK_S + trace.max_lateness_s
 
 
+def _end_by_server_s(call: CallerCall, served: ServerCall) -> float | None:
+    """When its server released a call that its caller took for established: as early as that is known."""
+    ends_s = (served.release_written_s, served.released_by_server_s)
+    return next((at_s for at_s in ends_s if at_s is not None and _is_standing(call, at_s)), None)
+
+
 def _is_standing(call: CallerCall, at_s: float) -> bool:
     """Whether its caller takes the call for established at this time."""
     ended_s = min([*call.releases_s, call.abandoned_s or float("inf")], default=float("inf"))
--- a/verification/call_trace.py
+++ b/verification/call_trace.py
@@ -63,7 +63,8 @@
     call_id: str
     server: str
     established_s: float
-    released_by_server_s: float | None = None
+    release_written_s: float | None = None  # by its server, where nothing but the proxy can keep it back
+    released_by_server_s: float | None = None  # it has passed to the proxy, and was read there
     released_by_proxy_s: float | None = None
     cut_s: float | None = None  # its server went away with it
 
@@ -116,6 +117,16 @@
     until_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ServerEvent:
+    """Something that happened on a connection of a call server, as that saw it."""
+
+    server: str
+    at_s: float
+    text: str
+    call_id: str  # of the call that it concerns; empty: all
+
+
 @dataclass(slots=True)
 class ProcessLife:
     """One process of the program, from its start to its end."""
@@ -144,6 +155,7 @@
     readiness: list[Readiness] = field(default_factory=list)
     held: list[HeldConnection] = field(default_factory=list)
     disturbed: list[Disturbed] = field(default_factory=list)
+    server_events: list[ServerEvent] = field(default_factory=list)
     unconnected_s: list[float] = field(default_factory=list)  # a process might have no caller's connection
     refused_connections_s: list[float] = field(default_factory=list)  # while a process was ready
     processes: list[ProcessLife] = field(default_factory=list)
