Soak: a server's connections spoiled by messages that cannot be read

Need: a release that a call server writes behind a message that cannot be read is lost as the proxy ends that connection, and nothing here showed it.

A failure prints what the server saw of its connections around the call's release.

--- a/experiments/soak/deployment.py
+++ b/experiments/soak/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 import tempfile
 import time
@@ -15,12 +16,13 @@
 from emulators.link import Link
 from emulators.server import CallServer
 from emulators.tasks import Tasks
+from emulators.unreadable_messages import UnreadableKind
 from experiments.soak.callers import SoakCallers
 from experiments.soak.observed_link import ObservedLink, ServerObserver
 from experiments.soak.proxies import ProxyProcess, own_host
 from experiments.soak.scenario import CALLS_PER_S, LOAD_S, PROXIES, SERVERS, Disturbance, Kind, Scenario
 from experiments.soak.silent_callers import SilentCallers
-from verification.call_trace import CallTrace, Disturbed, Told
+from verification.call_trace import CallTrace, Disturbed, ServerEvent, Told
 
 MS_PER_S = 1000.0
 LATENESS_INTERVAL_S = 0.01
@@ -35,6 +37,12 @@
 SETTLE_S = 6.0  # for calls that are open at the end of the load
 LAST_RELEASES_S = 1.5
 RECOVERY_S = 1.5  # after a disturbance, for connections to come up
+SPOILED_INTERVAL_S = (1.1, 1.8)  # between two messages that cannot be read
+SPOILED_SOON_PROBABILITY, SPOILED_SOON_S = 0.25, (0.02, 0.3)  # the next comes as its successor is new
+SPOILED_ANSWER_PROBABILITY = 0.3  # such a message takes the place of an answer
+SPOILED_OLDEST_PROBABILITY = 0.3  # else it goes to the server's oldest connection, and not to its newest
+END_NOTICED_S = (0.0, 0.3)  # so late a server notices the ends of connections meanwhile
+LAST_WRITES_S = 0.1  # what a process writes so shortly before its end may be reset with its connections
 IDLE_S = 0.6  # for connections to end once callers have gone
 
 
@@ -47,6 +55,8 @@
         self.observer = ServerObserver(name, trace)
         self.link: ObservedLink | None = None
         self.lifecycle = "ready"
+        self._trace = trace
+        self._noted = False  # what its emulator saw
 
     async def start(self) -> None:
         """Listen, and have its link listen."""
@@ -66,6 +76,26 @@
         """At the end of the run or of the server: see ``ServerObserver.close``."""
         if self.link is not None:
             self.observer.close(self.link.observed)
+        if not self._noted:
+            self._noted = True
+            self._note_what_it_saw()
+
+    def _note_what_it_saw(self) -> None:
+        """Its releases, and the events on its connections."""
+        last_s = time.time() - LAST_WRITES_S
+        self.observer.note_written_releases(
+            self.emulator.released_at_s, lambda at_s: at_s > last_s or self._is_disturbed(at_s)
+        )
+        for each in self.emulator.events:
+            text = f"connection {each.connection}: {each.text}"
+            self._trace.server_events.append(ServerEvent(self.name, each.at_s, text, each.call_id))
+
+    def _is_disturbed(self, at_s: float) -> bool:
+        """Whether its link holds back or loses what is written at this time."""
+        return any(
+            each.server == self.name and each.from_s - LAST_WRITES_S <= at_s <= each.until_s
+            for each in self._trace.disturbed
+        )
 
     def entry(self) -> dict[str, Any]:
         """Its entry in the list of service discovery."""
@@ -268,6 +298,7 @@
             Kind.CONNECTIONS_RESET: lambda: self._reset(self._servers[index]),
             Kind.SERVER_DRAINS: lambda: self._drain_server(self._servers[index]),
             Kind.SERVER_REPLACED: lambda: self._replace_server(index),
+            Kind.CONNECTIONS_SPOILED: lambda: self._spoil(self._servers[index].emulator, for_s),
         }
         return actions[disturbance.kind]
 
@@ -313,6 +344,21 @@
         self._note_disturbed(server, RECOVERY_S)
         server.link.reset()
 
+    async def _spoil(self, server: CallServer, for_s: float) -> None:
+        """Write messages that cannot be read now and then, and notice ends late meanwhile."""
+        rng = random.Random(self._scenario.seed)
+        until_s = time.time() + for_s
+        while time.time() < until_s:
+            server.notices_end_after_s = rng.uniform(*END_NOTICED_S)
+            kind = rng.choice(list(UnreadableKind))
+            if rng.random() < SPOILED_ANSWER_PROBABILITY:
+                server.spoil_next_answer(kind)
+            else:
+                server.spoil(kind, newest=rng.random() >= SPOILED_OLDEST_PROBABILITY)
+            soon = rng.random() < SPOILED_SOON_PROBABILITY
+            await asyncio.sleep(rng.uniform(*(SPOILED_SOON_S if soon else SPOILED_INTERVAL_S)))
+        server.notices_end_after_s = 0.0
+
     def _note_disturbed(self, server: Server, for_s: float) -> None:
         now_s = time.time()
         self.trace.disturbed.append(Disturbed(server.name, now_s, now_s + for_s))
--- a/experiments/soak/report.py
+++ b/experiments/soak/report.py
@@ -6,9 +6,10 @@
 
 from experiments.soak.scenario import Scenario
 from verification.call_rules import Violation, check, count_answers
-from verification.call_trace import CallTrace
+from verification.call_trace import CallTrace, ServerCall
 
 MAX_VIOLATIONS = 8  # printed of one run
+EVENTS_BEFORE_S, EVENTS_AFTER_S = 1.0, 1.2  # around a call's release, of its server's connections
 LOG_LINE = re.compile(r"\d{4}-\d\d-\d\d ")  # a line of the log begins with its date; a counter does not
 
 
@@ -58,10 +59,25 @@
                 (established.cut_s, f"{server} goes away with it"),
             ]
             events += [(at_s, text) for at_s, text in ends if at_s is not None]
+            events += _connection_events(trace, established)
     first_s = min((at_s for at_s, _ in events), default=0.0)
     return [f"{at_s:.3f} (+{at_s - first_s:.3f}) {text}" for at_s, text in sorted(events)]
 
 
+def _connection_events(trace: CallTrace, established: ServerCall) -> list[tuple[float, str]]:
+    """What the server saw on its connections around its release of the call."""
+    released_s = established.release_written_s
+    if released_s is None:
+        return []
+    return [
+        (each.at_s, f"{each.server}, {each.text}{' of this call' if each.call_id else ''}")
+        for each in trace.server_events
+        if each.server == established.server
+        and each.call_id in ("", established.call_id)
+        and released_s - EVENTS_BEFORE_S <= each.at_s <= released_s + EVENTS_AFTER_S
+    ]
+
+
 def _ends_at_caller(trace: CallTrace, call_id: str) -> list[tuple[float | None, str]]:
     call = trace.calls[call_id]
     return [(call.abandoned_s, "its caller ends it"), (call.lost_s, "its caller's connection ends")]
--- a/experiments/soak/scenario.py
+++ b/experiments/soak/scenario.py
@@ -14,6 +14,8 @@
 CALLS_PER_S = 30.0
 CROWD_PROBABILITY = 0.3
 SILENT_CROWD_PROBABILITY = 0.4
+SPOILED_PROBABILITY = 0.3
+SPOILED_FROM_S, SPOILED_FOR_S = (1.4, 3.0), (3.0, 5.0)
 
 
 class Kind(enum.Enum):
@@ -33,6 +35,7 @@
     CONNECTIONS_RESET = "connections reset"  # all connections to one server
     SERVER_DRAINS = "server drains"  # and is ready again
     SERVER_REPLACED = "server replaced"  # it drains, is gone, and a new process takes its place
+    CONNECTIONS_SPOILED = "connections spoiled"  # by unreadable messages, and their ends are noticed late
 
 
 PROCESS_KINDS = frozenset(
@@ -47,8 +50,15 @@
     }
 )
 SERVER_KINDS = frozenset(
-    {Kind.SERVER_HANGS, Kind.CONNECTIONS_RESET, Kind.SERVER_DRAINS, Kind.SERVER_REPLACED}
+    {
+        Kind.SERVER_HANGS,
+        Kind.CONNECTIONS_RESET,
+        Kind.SERVER_DRAINS,
+        Kind.SERVER_REPLACED,
+        Kind.CONNECTIONS_SPOILED,
+    }
 )
+SAMPLED_KINDS = [kind for kind in Kind if kind is not Kind.CONNECTIONS_SPOILED]  # see ``_draw_spoiled``
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +93,7 @@
 def draw(seed: int) -> Scenario:
     """The scenario of a seed: no process and no server is disturbed twice."""
     rng = random.Random(seed)
-    kinds = rng.sample(list(Kind), rng.randint(MIN_DISTURBANCES, MAX_DISTURBANCES))
+    kinds = rng.sample(SAMPLED_KINDS, rng.randint(MIN_DISTURBANCES, MAX_DISTURBANCES))
     free_proxies, free_servers = list(range(PROXIES)), list(range(SERVERS))
     disturbances = []
     for kind in kinds:
@@ -95,7 +105,17 @@
         else:
             target = 0
         disturbances.append(Disturbance(kind, rng.uniform(FIRST_S, LAST_S), rng.uniform(0.5, 2.5), target))
+    disturbances += _draw_spoiled(seed, free_servers)
     disturbances.sort(key=lambda disturbance: disturbance.at_s)
     crowd_at_s = rng.uniform(FIRST_S, LAST_S) if rng.random() < CROWD_PROBABILITY else None
     silent_crowd_at_s = rng.uniform(FIRST_S, LAST_S) if rng.random() < SILENT_CROWD_PROBABILITY else None
     return Scenario(seed, tuple(disturbances), crowd_at_s, silent_crowd_at_s)
+
+
+def _draw_spoiled(seed: int, free_servers: list[int]) -> list[Disturbance]:
+    """Connections spoiled, or nothing; by a generator of its own, so that seeds still draw what they drew."""
+    rng = random.Random(f"connections spoiled {seed}")
+    if not free_servers or rng.random() >= SPOILED_PROBABILITY:
+        return []
+    at_s, for_s = rng.uniform(*SPOILED_FROM_S), rng.uniform(*SPOILED_FOR_S)
+    return [Disturbance(Kind.CONNECTIONS_SPOILED, at_s, for_s, rng.choice(free_servers))]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 import os
 from collections.abc import Iterator
 from concurrent.futures import Future, ProcessPoolExecutor
+from dataclasses import replace
 from typing import NamedTuple
 
 import pytest
@@ -15,7 +16,7 @@
 from experiments.soak.scenario import PROCESS_KINDS, SERVER_KINDS, Kind, draw
 
 # Together they draw every kind of disturbance, and both kinds of crowd.
-SEEDS = [2, 5, 7, 10, 11, 20, 22, 23]
+SEEDS = [2, 5, 7, 11, 20, 22, 23, 30]
 # So many deployments are played at once, each from a process, and so on a loopback address, of its own.
 MAX_AT_ONCE = 3
 CORES_PER_DEPLOYMENT = 2
@@ -65,6 +66,28 @@
     assert any(scenario.silent_crowd_at_s is not None for scenario in scenarios)
 
 
+@pytest.mark.parametrize(
+    ("seed", "drawn"),
+    [
+        (
+            20,
+            "reload during start 0 at 2.1 s; two sigterms 1 at 2.5 s; server drains 1 at 3.2 s; "
+            "server hangs 2 at 3.5 s; silent crowd from 2.1 s on",
+        ),
+        (
+            30,
+            "reload during start 1 at 1.0 s; discovery closes 0 at 1.4 s; server drains 2 at 3.5 s; "
+            "restart 0 at 5.0 s; crowd at 1.1 s; silent crowd from 4.3 s on",
+        ),
+    ],
+)
+def test_a_seed_draws_beside_spoiled_connections_what_it_drew_before_there_were_any(seed, drawn):
+    scenario = draw(seed)
+    others = tuple(each for each in scenario.disturbances if each.kind is not Kind.CONNECTIONS_SPOILED)
+    assert len(others) < len(scenario.disturbances)
+    assert replace(scenario, disturbances=others).describe() == drawn
+
+
 def test_a_seed_draws_the_same_scenario_each_time_and_disturbs_nothing_twice():
     for seed in range(200):
         scenario = draw(seed)
