Soak: 'reload during start' waits until the program can hold SIGHUP, and a silent end breaks a rule

Cause: the soak sent SIGHUP as soon as the process existed. Its default action ended the interpreter before a line of the program ran, and the exit status of a process that nobody terminated was never read, so the rule 'exit' had nothing to check.

Change: SIGHUP is sent from when the process blocks or handles it (/proc/PID/status), which is before the program's long imports; the exit status of a process that has ended untold is taken into the trace.

--- a/experiments/soak/deployment.py
+++ b/experiments/soak/deployment.py
@@ -187,7 +187,7 @@
             await link.stop()
         await self._discovery.stop()
         for process in [each for processes in self._proxies for each in processes]:
-            process.read_log()
+            process.read_end()
 
     async def abandon(self) -> None:
         """Kill whatever still runs, after an error."""
@@ -304,6 +304,7 @@
 
     async def _restart_with_reload(self, index: int) -> None:
         process = await self._restart(index, signal.SIGTERM)
+        await process.until_signals_held()
         for _ in range(10):
             process.signal(signal.SIGHUP)
             await asyncio.sleep(0.03)
--- a/experiments/soak/proxies.py
+++ b/experiments/soak/proxies.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import re
 import signal
 import time
 from pathlib import Path
@@ -34,6 +35,12 @@
     return f"127.{1 + (number >> 16)}.{number >> 8 & 255}.{number & 255}"
 
 
+def holds_signal(status: str, number: signal.Signals) -> bool:
+    """Whether a process with this ``/proc/PID/status`` blocks or handles a signal."""
+    masks = re.findall(r"^Sig(?:Blk|Cgt):\s*([0-9a-f]+)$", status, re.MULTILINE)
+    return any(int(mask, 16) >> (number - 1) & 1 for mask in masks)
+
+
 class ProxyProcess:
     """One process, and what its front knows of it."""
 
@@ -138,6 +145,17 @@
             await self._process.wait()
         self.end_drain(resumed=False)
 
+    async def until_signals_held(self) -> None:
+        """Wait until it blocks or handles SIGHUP; raises ``TimeoutError``.
+
+        No program can outlive a signal that finds its interpreter starting.
+        """
+        assert self._process is not None, "start() first"
+        status = Path(f"/proc/{self._process.pid}/status")
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not holds_signal(await asyncio.to_thread(status.read_text), signal.SIGHUP):
+                await asyncio.sleep(0.002)
+
     def begin_drain(self) -> None:
         """It is told to send callers away."""
         self.drain_from_s = time.time()
@@ -154,6 +172,8 @@
             return None
         return open_descriptors(self._process.pid), resident_mb(self._process.pid)
 
-    def read_log(self) -> None:
-        """Take its log into the trace."""
+    def read_end(self) -> None:
+        """Take its log into the trace, and its exit status where it has ended though nobody told it to."""
+        if self._process is not None and self.life.terminated_s is None:
+            self.life.exit_status = self._process.returncode
         self.life.log = self._log.read_text(errors="replace")
