Property tests have no deadline an example

tests/test_codecs.py::test_any_split_reads_the_same failed once, with a DeadlineExceeded of hypothesis, beside a load of 29 on 8 cores: an example may take 200 ms by default, and the tests must not depend on the machine's speed. Two of the property tests had none already; now none has. What they assert is the same.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from pathlib import Path
 
+import hypothesis
 import pytest
 from known_red import pass_over
 
@@ -14,6 +15,9 @@
 pytest_plugins = ("pytester",)
 KNOWN_RED_OPTION = "--known-red"
 
+hypothesis.settings.register_profile("without deadline", deadline=None)  # no test depends on speed
+hypothesis.settings.load_profile("without deadline")
+
 
 def pytest_addoption(parser: pytest.Parser) -> None:
     parser.addoption(KNOWN_RED_OPTION, type=Path, help="pass over exactly the tests that this file names")
