Discovery: an event without a number, or too long, no longer withholds all later ones

Callers: none are known to have met it. After such an event the proxy noticed no new, draining or gone call server, and calls would have gone on by the old list. Found by a review.

Cause: an event that cannot be read is to be requested twice more, then skipped. Only events that could not be decoded were counted. One whose id is missing or no number raised before the count, and one of over 256 KiB raised in the parser, so each was requested again for ever.

Change: all three are counted in one place. After an event that is too long the parser can be fed on, and discards the rest of it up to its empty line; it still raises for it, once. A skipped event with a number moves the resume token to that, as before. One without leaves the token where it is; the next readable event moves it on. Until then the event is sent again to each poll, and is known by its place behind the last event received: it is skipped at once there, without a poll of its own, and its reads do not count as those of the event behind it, which would be skipped after one read that went wrong. Polls keep the delays of the existing backoff, which a skip without a number does not reset.

Evidence: a service on loopback that sends every poll the events after its Last-Event-ID. Before, the 12 new tests of test_discovery.py failed: 20 polls, the bound of the test, for the same event, and none behind it read. Now three polls for each. The new test of the parser needs the new error, so it cannot pass before, either.

Not changed: an event without an id line behind one with a number has that one's id, by the standard, and is dropped as received before. A response that is wrong as HTTP (its status, headers or chunk lengths) is not an event, and is requested again for as long as it lasts.

--- a/canvasplank/codecs/sse.py
+++ b/canvasplank/codecs/sse.py
@@ -14,6 +14,15 @@
 _CHUNK_LENGTH = re.compile(rb"[0-9A-Fa-f]{1,8}")
 
 
+class OversizedEventError(BadMessageError):
+    """An event is over the size limit; a parser that is fed on discards the rest of it."""
+
+    def __init__(self, event_id: str) -> None:
+        """``event_id``: its id; empty where that has not been read yet."""
+        super().__init__(f"event of over {_MAX_EVENT_BYTES} bytes")
+        self.event_id = event_id
+
+
 @dataclass(frozen=True, slots=True)
 class Event:
     """One event: its id, and the lines of its data."""
@@ -40,8 +49,10 @@
         self._in_body = False
         self._chunked = False
         self._chunk_left = 0
-        self._id = ""
+        self._id = ""  # the last one read, which holds for events without one
+        self._incomplete_event_id = ""  # of the incomplete event itself
         self._data: list[str] = []  # lines of the incomplete event
+        self._discarding = False  # the rest of an oversized event
 
     @property
     def in_message(self) -> bool:
@@ -60,7 +71,10 @@
         self._data = []
 
     def feed(self, data: bytes | memoryview) -> Iterator[Event]:
-        """Events completed by these bytes; comments are passed over.  Raises ``BadMessageError``."""
+        """Events completed by these bytes; comments are passed over.  Raises ``BadMessageError``.
+
+        After an ``OversizedEventError`` it may be fed on.
+        """
         self._raw += data
         if not self._in_body and not self._read_head():
             return
@@ -74,7 +88,16 @@
             len(self._text) > _MAX_EVENT_BYTES
             or sum(map(len, self._data)) + len(self._data) > _MAX_EVENT_BYTES
         ):
-            raise BadMessageError(f"event of over {_MAX_EVENT_BYTES} bytes")
+            self._discard_event()
+
+    def _discard_event(self) -> None:
+        """Discard the incomplete event up to its end; raises ``OversizedEventError``, once for each."""
+        self._data = []
+        if len(self._text) > _MAX_EVENT_BYTES:
+            self._text[:] = b":"  # the rest of the line is a comment: it must not pass for an empty line
+        if not self._discarding:
+            self._discarding = True
+            raise OversizedEventError(self._incomplete_event_id)
 
     def _read_head(self) -> bool:
         end = self._raw.find(b"\r\n\r\n")
@@ -126,11 +149,11 @@
             del self._text[: end + 1]
             name, _, value = line.partition(":")
             if not line:
-                if self._data:
+                if self._data and not self._discarding:
                     yield Event(self._id, "\n".join(self._data))
-                self._data = []
+                self._data, self._incomplete_event_id, self._discarding = [], "", False
             elif name == "id":
-                self._id = value.removeprefix(" ")
+                self._id = self._incomplete_event_id = value.removeprefix(" ")
             elif name == "data":
                 self._data.append(value.removeprefix(" "))
 
--- a/canvasplank/network/discovery.py
+++ b/canvasplank/network/discovery.py
@@ -54,6 +54,9 @@
     def on_event(self, event: sse.Event) -> None:
         """An event was read; raises ``BadMessageError``."""
 
+    def on_oversized_event(self, error: sse.OversizedEventError) -> None:
+        """An event is too long to be read; raises ``BadMessageError``, or returns to have it discarded."""
+
     def on_watch_ended(self, watch: DiscoveryWatch) -> None:
         """It has ended, or never came up."""
 
@@ -81,8 +84,11 @@
     def on_received(self, data: memoryview) -> None:
         """See ``Stream``."""
         self._owner.on_received(self)
-        for event in self.messages(data):
-            self._owner.on_event(event)
+        try:
+            for event in self.messages(data):
+                self._owner.on_event(event)
+        except sse.OversizedEventError as error:  # raised behind all complete events of the data
+            self._owner.on_oversized_event(error)
 
     def on_disconnected(self, error: Exception | None) -> None:
         """See ``Stream``."""
@@ -132,6 +138,9 @@
         self._unconfirmed_move_ms: float | None = None
         self._rewatch_at_ms = float("inf")  # when the watch is ended for another
         self._failed_reads = 0  # of the next event, in a row
+        # Unreadable events without a number, after the last event received: they are sent again to each poll.
+        self._skipped_unnumbered = 0  # for good
+        self._skipped_unnumbered_on_watch = 0  # of these, on this watch so far
 
     def use_poll_backoff(self, poll_backoff: PollBackoff) -> None:
         """Poll after this backoff's delays instead of the doubling ones; before ``start``."""
@@ -217,6 +226,7 @@
         The service may have accepted the watch where it has moved to, and then lost it.  One that has sent an
         event is known to work, and polling that again would only be load.
         """
+        self._skipped_unnumbered_on_watch = 0
         if self._unconfirmed_move_ms is not None:
             jitter = self._rng.uniform(*UNCONFIRMED_MOVE_JITTER)
             self._rewatch_at_ms = self.scheduler.now_ms + self._unconfirmed_move_ms * jitter
@@ -224,34 +234,55 @@
 
     def on_event(self, event: sse.Event) -> None:
         """See ``DiscoveryWatchOwner``: pass a new event on; one received before a break is dropped."""
-        if not EVENT_ID.fullmatch(event.id):
-            raise BadMessageError(f"event {event.id[:20]!r} has no number")
-        number = int(event.id)
+        number = _event_number(event.id)
+        if number is None:
+            self._on_unreadable(None, f"id {event.id[:20]!r} is not a number")
+            return
         if number <= self.last_id:
             return
-        discovery_event = self._decode(number, event.data)
-        self._failed_reads = 0
+        try:
+            discovery_event = DISCOVERY_EVENT_DECODER.decode(event.data)
+        except (ValueError, RecursionError, msgspec.MsgspecError) as error:
+            self._on_unreadable(number, str(error))
+            return
+        self._advance_to(number)
+        self._handle_event(discovery_event)
+
+    def on_oversized_event(self, error: sse.OversizedEventError) -> None:
+        """See ``DiscoveryWatchOwner``."""
+        number = _event_number(error.event_id)
+        if number is None or number > self.last_id:
+            self._on_unreadable(number, str(error))
+
+    def _advance_to(self, number: int) -> None:
+        """Resume after this event from now on."""
+        self._failed_reads = self._skipped_unnumbered = self._skipped_unnumbered_on_watch = 0
         self._backoff.on_success()
         self._unconfirmed_move_ms, self._rewatch_at_ms = None, float("inf")
         if self._poll_backoff is not None:
             self._poll_backoff.reset()
         self.last_id = number
-        if discovery_event is not None:
-            self._handle_event(discovery_event)
 
-    def _decode(self, number: int, data: str) -> DiscoveryEvent | None:
-        """Decode an event; raises ``BadMessageError``, or returns None where it has failed too often.
+    def _on_unreadable(self, number: int | None, reason: str) -> None:
+        """Raise ``BadMessageError``, which has the event requested again, or skip it after ``MAX_READS``.
 
-        An event that can never be read must not withhold all later ones from this proxy.
+        An event that can never be read must not withhold all later ones from this proxy.  One without a
+        number leaves the resume token; after a break it is known by its place behind the last event received.
         """
-        try:
-            return DISCOVERY_EVENT_DECODER.decode(data)
-        except (ValueError, RecursionError, msgspec.MsgspecError) as error:
-            self._failed_reads += 1
-            if self._failed_reads < MAX_READS:
-                raise BadMessageError(f"event {number}: {error}") from error
-            LOG.warning("service discovery: event %d is passed over, unread: %s", number, error)
-            return None
+        if number is None and self._skipped_unnumbered_on_watch < self._skipped_unnumbered:
+            self._skipped_unnumbered_on_watch += 1
+            return
+        name = f"an event after {self.last_id}" if number is None else f"event {number}"
+        self._failed_reads += 1
+        if self._failed_reads < MAX_READS:
+            raise BadMessageError(f"{name}: {reason}")
+        LOG.warning("service discovery: %s is passed over, unread: %s", name, reason)
+        if number is None:
+            self._failed_reads = 0
+            self._skipped_unnumbered += 1
+            self._skipped_unnumbered_on_watch += 1
+        else:
+            self._advance_to(number)
 
     def _check_connection(self) -> None:
         """End a watch that is open and dead, or unconfirmed after a move; periodically."""
@@ -266,3 +297,8 @@
                 self._watch = None
                 self._connect()
         self.scheduler.call_later(CHECK_INTERVAL_MS, self._check_connection)
+
+
+def _event_number(event_id: str) -> int | None:
+    """The number that an event's id is; None: it is none."""
+    return int(event_id) if EVENT_ID.fullmatch(event_id) else None
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -91,6 +91,20 @@
         read(parser, data)
 
 
+@pytest.mark.parametrize("size", [1, 2, 3, 1000])
+def test_the_rest_of_an_oversized_event_is_discarded(size):
+    """Where the size limit is passed just before a line's end, the rest is not taken for the event's end."""
+    parser = sse.Parser()
+    with pytest.raises(sse.OversizedEventError, match="event of over") as raised:
+        list(parser.feed(b"HTTP/1.1 200 OK\r\n\r\nid: 2\ndata: " + b"x" * 300_000))
+    assert raised.value.event_id == "2"
+    rest = b"\r\ndata: y\n" + b"data: " + b"z" * 300_000 + b"\n\nid: 3\ndata: {}\n\n"
+    beginning, rest = rest[:300_000], rest[300_000:]
+    pieces = [beginning[:1], beginning[1:]] + [rest[at : at + size] for at in range(0, len(rest), size)]
+    assert [event for piece in pieces for event in parser.feed(piece)] == [sse.Event("3", "{}")]
+    assert not parser.in_message
+
+
 @pytest.mark.parametrize(
     ("reason", "cause"),
     [
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import random
+import re
+from collections.abc import Callable
 from itertools import pairwise
 
 import pytest
 
-from canvasplank.network.discovery import Discovery
+from canvasplank.network.discovery import MAX_READS, MIN_RECONNECT_DELAY_MS, Discovery
 from canvasplank.network.stream import BufferBudget
 from canvasplank.runtime.scheduler import Scheduler, TimerQueue
 
@@ -169,3 +171,147 @@
         return service.polled_ms
 
     assert len(asyncio.run(run())) == 1
+
+
+class EventLog(FakeService):
+    """A service that sends each poll the events after its ``Last-Event-ID``, and then only waits.
+
+    The clock stands still while a watch is open, so however slowly it is read, it is never silent.
+    """
+
+    def __init__(self, events: dict[int, bytes]) -> None:
+        """``events``: the bytes of each, by number."""
+        super().__init__()
+        self.events = events
+        self.last_event_ids: list[int] = []  # of each poll
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        request = await reader.readuntil(b"\r\n\r\n")
+        last_id = int(re.search(rb"Last-Event-ID: (\d+)", request)[1])
+        self.last_event_ids.append(last_id)
+        self.polled_ms.append(self.now_ms)
+        self.watches.append(writer)
+        sent = [event for number, event in self.events.items() if number > last_id]
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + b"".join(sent))
+        await reader.read()
+        self.watches.remove(writer)
+        writer.close()
+
+    async def follow(self) -> Discovery:
+        """A client that knows event 1."""
+        address = await self.listen()
+        discovery = Discovery(
+            self.scheduler,
+            address,
+            1,
+            lambda event: self.received.append(event.rev),
+            BufferBudget(1e9),
+            random.Random(1),
+        )
+        discovery.start()
+        return discovery
+
+    async def until(self, discovery: Discovery, is_done: Callable[[], bool]) -> None:
+        """Run until it is done; fails where it is polled far too often."""
+        async with asyncio.timeout(30):
+            while not is_done() and len(self.polled_ms) < 20:
+                if discovery._watch is None:  # it waits for its next poll
+                    self.now_ms += 10.0
+                self.scheduler.begin_iteration()
+                await asyncio.sleep(0.001)
+        assert is_done(), f"polled {len(self.polled_ms)} times, received {self.received}"
+
+
+def readable(number: int) -> bytes:
+    return b'id: %d\ndata: {"rev": %d}\n\n' % (number, number)
+
+
+OVERSIZED = b"data: x\n" * 300_000
+WITHOUT_NUMBER = b"id: none\ndata: {}\n\n"
+NUMBER_FIRST = b"id: 2\n" + OVERSIZED + b"\n"
+NUMBER_LAST = OVERSIZED + b"id: 2\n\n"
+ONE_LINE = b"id: 2\ndata: " + b"x" * 600_000 + b"\n\n"
+UNDECODABLE = b'id: 3\ndata: {"rev": 3, "pool": 5}\n\n'
+TORN = b'id: 3x\ndata: {"rev": 3}\n\n'
+
+
+@pytest.mark.parametrize(
+    ("events", "received", "last_event_ids"),
+    [
+        ({2: WITHOUT_NUMBER, 3: readable(3)}, [3], [1, 1, 1]),
+        ({2: b"data: {}\n\n", 3: readable(3)}, [3], [1, 1, 1]),
+        ({2: NUMBER_FIRST, 3: readable(3)}, [3], [1, 1, 1]),
+        ({2: NUMBER_LAST, 3: readable(3)}, [3], [1, 1, 1]),
+        ({2: ONE_LINE, 3: readable(3)}, [3], [1, 1, 1]),
+        ({2: readable(2), 3: WITHOUT_NUMBER, 4: readable(4)}, [2, 4], [1, 2, 2]),
+        ({2: WITHOUT_NUMBER, 3: WITHOUT_NUMBER, 4: readable(4)}, [4], [1] * 5),
+        ({2: NUMBER_LAST, 3: UNDECODABLE, 4: readable(4)}, [4], [1] * 5),
+        ({2: NUMBER_FIRST, 3: OVERSIZED + b"\n", 4: readable(4)}, [4], [1, 1, 1, 2, 2]),
+        ({2: b"id: 1\n" + OVERSIZED + b"\n" + readable(2)}, [2], [1]),
+    ],
+    ids=[
+        "id is no number",
+        "no id",
+        "oversized, its id first",
+        "oversized, its id last",
+        "oversized, one line",
+        "after a readable one",
+        "two without a number",
+        "oversized, then not decodable",
+        "two oversized",
+        "oversized, received before",
+    ],
+)
+def test_an_unreadable_event_is_requested_twice_more_then_skipped(events, received, last_event_ids):
+    """It was requested for ever, and no later event was read."""
+
+    async def run() -> EventLog:
+        service = EventLog(events)
+        discovery = await service.follow()
+        await service.until(discovery, lambda: service.received == received)
+        service.server.close()
+        return service
+
+    service = asyncio.run(run())
+    assert service.received == received
+    assert service.last_event_ids == last_event_ids
+    gaps_ms = [later - earlier for earlier, later in pairwise(service.polled_ms)]
+    assert all(gap_ms >= MIN_RECONNECT_DELAY_MS for gap_ms in gaps_ms)
+
+
+def test_an_event_torn_after_one_without_a_number_is_requested_again():
+    """The reads of the one before it don't count as its own: it would be lost."""
+
+    async def run() -> EventLog:
+        # Event 2 can never be read; event 3 is first read in the poll that skips event 2, its third.
+        service = EventLog({2: WITHOUT_NUMBER, 3: TORN, 4: readable(4)})
+        discovery = await service.follow()
+        await service.until(discovery, lambda: len(service.polled_ms) == MAX_READS)
+        service.events[3] = readable(3)
+        await service.until(discovery, lambda: service.received == [3, 4])
+        service.server.close()
+        return service
+
+    service = asyncio.run(run())
+    assert service.received == [3, 4]
+    assert service.last_event_ids == [1] * (MAX_READS + 1)
+
+
+def test_a_skipped_event_without_a_number_is_skipped_at_once_after_a_break(caplog):
+    """As the last event it is sent again to every poll."""
+
+    async def run() -> EventLog:
+        service = EventLog({2: WITHOUT_NUMBER})
+        discovery = await service.follow()
+        await service.until(discovery, lambda: "is passed over" in caplog.text)
+        service.watches[-1].close()
+        await service.until(discovery, lambda: len(service.polled_ms) > MAX_READS)
+        service.watches[-1].write(readable(3))
+        await service.until(discovery, lambda: service.received == [3])
+        service.server.close()
+        return service
+
+    service = asyncio.run(run())
+    assert service.received == [3]
+    assert service.last_event_ids == [1] * (MAX_READS + 1)
+    assert caplog.text.count("is passed over") == 1
