Ended connections: one way to abort and read on, and names without 'keep'

Three methods of ServerStream that abort and read on had the same lines; they share one now. What was called 'kept' is the ended connections themselves, and 'keep open' is a deferred half-close.

--- a/canvasplank/network/ended_connection.py
+++ b/canvasplank/network/ended_connection.py
@@ -1,4 +1,4 @@
-"""Connections to call servers that the proxy has ended, read on for what is owed to the calls on them.
+"""Connections to call servers that the proxy has ended, read on for releases of the calls on them.
 
 A server writes the release of a call once, on the connection of the call's set-up, for as long as it takes
 that for open.  It may be behind a message that cannot be read, or written before the server notices our end.
@@ -26,8 +26,8 @@
 CHECK_INTERVAL_MS = 20.0
 MAX_READ_BYTES = 4 * 1024 * 1024  # of one connection
 READ_BYTES = 64 * 1024
-KEPT_FRACTION = 1 / 16  # of the configured sockets: how many may be read on at once
-DEFAULT_MAX_KEPT = 16  # until the number of sockets is given
+SOCKETS_FRACTION = 1 / 16  # of the configured sockets: how many may be read on at once
+DEFAULT_MAX_CONNECTIONS = 16  # until the number of sockets is given
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # the value of SO_LINGER: on, for no time
 
 
@@ -36,8 +36,7 @@
 
     connection: socket.socket
     unread: bytes  # what was received and not understood
-    # Whether it is first read on without being closed for writing.
-    keep_open: bool
+    defer_half_close: bool  # whether it is first read on without being closed for writing
     # Given each message that is found, and what writes a response as long as that is possible.
     on_message: Callable[[sip.Message, Callable[[bytes], None]], None]
 
@@ -64,7 +63,7 @@
         self._writing_closed_ms: float | None = None
         self._timer = scheduler.call_later(CHECK_INTERVAL_MS, self._check)
         asyncio.get_running_loop().add_reader(self._connection, self._read)
-        if not stream.keep_open:
+        if not stream.defer_half_close:
             self._close_writing()
         for message in self._finder.feed(stream.unread):
             if message.method == "BYE":  # an answer may be the very message that could not be read
@@ -121,23 +120,23 @@
 
     def __init__(self, scheduler: Scheduler) -> None:
         self._scheduler = scheduler
-        self._max_kept = DEFAULT_MAX_KEPT
-        self._kept: dict[EndedConnection, None] = {}  # the oldest first
+        self._max_connections = DEFAULT_MAX_CONNECTIONS
+        self._connections: dict[EndedConnection, None] = {}  # the oldest first
 
     def limit(self, sockets: int) -> None:
         """Take a new limit of the program's sockets."""
-        self._max_kept = max(1, int(KEPT_FRACTION * sockets))
+        self._max_connections = max(1, int(SOCKETS_FRACTION * sockets))
 
-    def keep(self, stream: EndedStream) -> None:
+    def add(self, stream: EndedStream) -> None:
         """Read on; past the limit the oldest is closed."""
-        connection = EndedConnection(self._scheduler, stream, lambda each: self._kept.pop(each, None))
-        self._kept[connection] = None
-        while len(self._kept) > self._max_kept:
-            next(iter(self._kept)).close()
+        connection = EndedConnection(self._scheduler, stream, lambda each: self._connections.pop(each, None))
+        self._connections[connection] = None
+        while len(self._connections) > self._max_connections:
+            next(iter(self._connections)).close()
 
     def close(self) -> None:
         """Close all."""
-        for each in list(self._kept):
+        for each in list(self._connections):
             each.close()
 
 
--- a/canvasplank/network/server_connections.py
+++ b/canvasplank/network/server_connections.py
@@ -61,7 +61,7 @@
 
     def read_on(self, ended: EndedStream) -> None:
         """See ``ServerStreamOwner``."""
-        self._ended.keep(ended)
+        self._ended.add(ended)
 
     def disconnect(self) -> None:
         """Shut down: act on nothing more, so that no release is confirmed that cannot be passed on.
@@ -181,7 +181,7 @@
             self._end_attempt(peer, call_id, attempt, api.Outcome.RESET)
 
         def end_once_cancelled() -> None:
-            if stream.is_kept_open:
+            if stream.half_close_deferred:
                 self._scheduler.call_later(CANCELLATION_NOTICE_MS, end)
             else:
                 end()
--- a/canvasplank/network/server_stream.py
+++ b/canvasplank/network/server_stream.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import NamedTuple, Protocol
 
 from canvasplank import interface as api
@@ -166,7 +167,7 @@
         self._unanswered_since_ms: float | None = None  # the first set-up sent since anything was last read
         self._bad_body = b""  # of a message that stopped short: what came after it is in there
         self._is_read_on = False  # whether it is read on after its end: see ``ended_connection``
-        self.is_kept_open = False  # whether it is not closed for writing at first then
+        self.half_close_deferred = False  # whether it is not closed for writing at first then
         self._finder = MessageFinder()  # for what follows a bad message, where it is not
         self.set_ups_at_end: frozenset[str] = frozenset()  # calls whose set-ups were open then
 
@@ -217,27 +218,25 @@
 
     def abort_unreadable(self, reason: str) -> None:
         """See ``Stream``."""
-        unread = self._bad_body + self._sip_parser.unread
-        ended = self._prepare_to_read_on(unread, keep_open=self.is_open and not self.unsent)
-        super().abort_unreadable(reason)
-        if ended is None:
-            self.on_unread(unread)
-        else:
-            self._owner.read_on(ended)
+        abort = partial(super().abort_unreadable, reason)
+        self._abort_and_read_on(abort, defer_half_close=self.is_open and not self.unsent)
 
     def abort_unsent(self) -> None:
         """See ``Stream``."""
-        ended = self._prepare_to_read_on(self._sip_parser.unread, keep_open=False)
-        super().abort_unsent()
-        if ended is not None:
-            self._owner.read_on(ended)
+        self._abort_and_read_on(super().abort_unsent)
 
     def abort_unread_set_ups(self) -> None:
         """End it at once, since its server has not read the set-ups that were sent to it."""
-        ended = self._prepare_to_read_on(self._sip_parser.unread, keep_open=False)
-        self.abort()
+        self._abort_and_read_on(self.abort)
+
+    def _abort_and_read_on(self, abort: Callable[[], None], *, defer_half_close: bool = False) -> None:
+        unread = self._bad_body + self._sip_parser.unread
+        ended = self._prepare_to_read_on(unread, defer_half_close=defer_half_close)
+        abort()
         if ended is not None:
             self._owner.read_on(ended)
+        elif self.unreadable:  # or what is unread is searched once it is disconnected
+            self.on_unread(unread)
 
     def abort_lingering(self) -> None:
         """See ``Stream``."""
@@ -245,10 +244,11 @@
             reset_if_delivered(self.transport.get_extra_info("socket"))
         super().abort_lingering()
 
-    def _prepare_to_read_on(self, unread: bytes, *, keep_open: bool) -> EndedStream | None:
+    def _prepare_to_read_on(self, unread: bytes, *, defer_half_close: bool) -> EndedStream | None:
         """What is needed to read on after an end of ours that is about to come; None: it has ended already.
 
-        ``keep_open``: it is not closed for writing at once, so that its server writes on what it has queued.
+        ``defer_half_close``: it is not closed for writing at once, so that its server writes on what it has
+        queued.
         """
         if self.transport is None or self.transport.is_closing() or self._owner.disconnecting:
             return None
@@ -256,15 +256,15 @@
         if connection is None:
             return None
         self._is_read_on = True
-        self.is_kept_open = keep_open
+        self.half_close_deferred = defer_half_close
         self.set_ups_at_end = frozenset(self.open_set_ups)
-        if keep_open:
+        if defer_half_close:
             for call_id, attempt in self.open_set_ups.items():
                 self.write(sip.request("CANCEL", "call", call_id, attempt + 1))
         return EndedStream(
             connection,
             unread,
-            keep_open,
+            defer_half_close,
             lambda message, write: self._owner.on_message_after_end(self, message, write),
         )
 
--- a/tests/test_ended_connections.py
+++ b/tests/test_ended_connections.py
@@ -198,7 +198,7 @@
         await rig.until(lambda: len(rig.accepted) == 2)
         await rig.replace_current()
         await rig.until(lambda: rig.connected == 1)
-        assert not rig.servers._connections._ended._kept
+        assert not rig.servers._connections._ended._connections
 
     run(play, monkeypatch)
 
@@ -268,7 +268,7 @@
 
 
 def test_the_release_wait_of_what_is_cancelled_there_leaves_the_server_time_to_read_that(monkeypatch):
-    """A server read a cancellation there 0.14 s late, and its call was sent again 0.16 s after that."""
+    """It may read a cancellation late on a connection on which it has sent what cannot be read."""
 
     async def play(rig: Connections) -> None:
         await rig.offer()
