Connections read on: a pause of ours is not taken for the server's

Cause: a connection ended for a message that cannot be read stays open for writing until its server has written nothing for 0.1 s. That ran from the clock of the iteration of the last read; an iteration of 16 polls took 0.12 s on a busy machine, so the connection was closed for writing in the middle of a megabyte of padding, and the server dropped the releases queued behind it. Padding took up to 390 ms, so the bound of 0.4 s on the whole was as short.

Change: both times are read from the clock; 0.4 s is the bound once a message was found behind the bad one, 2 s before.

--- a/canvasplank/network/ended_connection.py
+++ b/canvasplank/network/ended_connection.py
@@ -22,7 +22,9 @@
 from canvasplank.runtime.scheduler import Scheduler
 
 QUIET_MS = 100.0  # a server that writes nothing for so long has written what it had queued
-MAX_OPEN_MS = 400.0  # until it is closed for writing: a server that sees that may drop what it has queued
+MAX_OPEN_MS = 400.0  # until it is closed for writing, where the server has got past what cannot be read
+# While it still writes that: it may drop what it has queued behind it once it sees our end.
+MAX_UNREADABLE_MS = 2000.0
 CHECK_INTERVAL_MS = 20.0
 MAX_READ_BYTES = 4 * 1024 * 1024  # of one connection
 READ_BYTES = 64 * 1024
@@ -59,7 +61,9 @@
         self._on_closed = on_closed
         self._finder = MessageFinder()
         self._read_bytes = 0
-        self._started_ms = self._last_read_ms = scheduler.now_ms
+        # By the clock, as below: an iteration may have begun long ago, and our pause is not the server's.
+        self._started_ms = self._last_read_ms = scheduler.read_clock()
+        self._found_message = False
         self._writing_closed_ms: float | None = None
         self._timer = scheduler.call_later(CHECK_INTERVAL_MS, self._check)
         asyncio.get_running_loop().add_reader(self._connection, self._read)
@@ -77,9 +81,10 @@
             return
         except OSError:  # the server has reset it
             count = 0
-        self._last_read_ms = self._scheduler.now_ms
+        self._last_read_ms = self._scheduler.read_clock()
         self._read_bytes += count
         for message in self._finder.feed(memoryview(self._buffer)[:count]):
+            self._found_message = True
             self._on_message(message, self._write)
         if not count or self._read_bytes > MAX_READ_BYTES:
             self.close()
@@ -87,8 +92,9 @@
     def _check(self) -> None:
         now_ms = self._scheduler.now_ms
         if self._writing_closed_ms is None:
+            max_open_ms = MAX_OPEN_MS if self._found_message else MAX_UNREADABLE_MS
             is_quiet = now_ms - self._last_read_ms >= QUIET_MS
-            if is_quiet or now_ms - self._started_ms >= MAX_OPEN_MS:
+            if is_quiet or now_ms - self._started_ms >= max_open_ms:
                 self._close_writing()
         elif now_ms - self._writing_closed_ms >= LINGER_MS:
             reset_if_delivered(self._connection)
