A call cancelled on a spoiled connection waits for its server's end of that connection

Callers saw nothing of their own; one call could hold lines at two servers for a moment.

Cause: attempts on a connection that is ended for a bad message were to end 150 ms after their release, as their server may read the cancellation late. A cancellation by the decision module meanwhile found neither an open set-up nor a pending release, and ended the attempt at once.

The guessed 150 ms are gone, and with them their test, whose place the four tests of the wait from the server's end take: all failed before. 'Not released while it is set up there anew' could not come about any more behind a bad message; it forces the same on a connection ended for unsent bytes, where it can.

--- a/canvasplank/network/ended_connection.py
+++ b/canvasplank/network/ended_connection.py
@@ -41,6 +41,7 @@
     defer_half_close: bool  # whether it is first read on without being closed for writing
     # Given each message that is found, and what writes a response as long as that is possible.
     on_message: Callable[[sip.Message, Callable[[bytes], None]], None]
+    on_closed: Callable[[], None]  # once its server has ended it too, or it is read on no longer
 
 
 class EndedConnection:
@@ -58,6 +59,7 @@
         self._scheduler = scheduler
         self._connection = stream.connection
         self._on_message = stream.on_message
+        self._on_stream_closed = stream.on_closed
         self._on_closed = on_closed
         self._finder = MessageFinder()
         self._read_bytes = 0
@@ -119,6 +121,7 @@
         self._scheduler.timers.cancel(self._timer)
         self._connection.close()
         self._on_closed(self)
+        self._on_stream_closed()
 
 
 class EndedConnections:
--- a/canvasplank/network/server_connections.py
+++ b/canvasplank/network/server_connections.py
@@ -19,8 +19,6 @@
 UNREACHABLE_MS = 7000.0
 DEFAULT_RESEND_MS = 500.0  # until a caller sends a set-up again, where the settings name no time
 MESSAGE_TIMEOUT_FRACTION = 0.25  # of it: the rest of a message that has not come by then never will
-# For a server to read the cancellations on a connection on which it has sent what cannot be read.
-CANCELLATION_NOTICE_MS = 150.0
 CHECK_INTERVAL_FRACTION = 0.2  # of it: between two checks of the connections
 
 
@@ -171,28 +169,27 @@
     def _on_set_up_reset(self, stream: ServerStream, call_id: str, attempt: int) -> None:
         """Report it, and release what may have been established by an answer that was not readable.
 
-        Then the attempt has ended once that release has left, or no connection for it comes up: the call is
-        not to be established twice.  Where its cancellation is all that ended it for the server, it is given
-        time to read that, too.
+        Then the attempt has ended once that release has left, or no connection for it comes up, and the
+        server has ended the connection as well: the call is not to be established twice, nor to be sent again
+        while the server may take it for open.
         """
         peer = stream.peer
 
-        def end() -> None:
+        def report_reset() -> None:
             self._end_attempt(peer, call_id, attempt, api.Outcome.RESET)
 
-        def end_once_cancelled() -> None:
-            if stream.half_close_deferred:
-                self._scheduler.call_later(CANCELLATION_NOTICE_MS, end)
-            else:
-                end()
+        def end_when_given_up() -> None:
+            stream.call_when_given_up(lambda: peer.end_attempt(call_id))
 
         if not stream.ended_unreadably:
-            end()
-        elif self.is_listed(peer):
-            peer.send_release(call_id, ReleaseCause.NORMAL_UNSPECIFIED, end_once_cancelled)
+            report_reset()
+            return
+        peer.ending.setdefault(call_id, report_reset)  # or it was cancelled just before
+        if self.is_listed(peer):
+            peer.send_release(call_id, ReleaseCause.NORMAL_UNSPECIFIED, end_when_given_up)
         else:
             peer.send_release(call_id, ReleaseCause.NORMAL_UNSPECIFIED)
-            end()
+            end_when_given_up()
 
     def _on_connection_failed(self, stream: ServerStream, reason: str) -> None:
         """It did not come up: the set-ups that waited for it were never sent."""
--- a/canvasplank/network/server_stream.py
+++ b/canvasplank/network/server_stream.py
@@ -79,6 +79,8 @@
     silence_timeout_ms: float = SILENCE_TIMEOUT_MS
     streams: list[ServerStream] = field(default_factory=list)  # all that are established
     pending_releases: dict[str, PendingRelease] = field(default_factory=dict)  # for the next connection
+    # What reports the end of an attempt, by call, once the server is known to have given its set-up up.
+    ending: dict[str, Callable[[], None]] = field(default_factory=dict)
     connect_after_ms: float = 0.0  # its first connection is made no sooner, unless a set-up needs it
 
     def send_release(self, call_id: str, cause: int, on_sent: Callable[[], None] | None = None) -> None:
@@ -92,13 +94,11 @@
         elif on_sent is not None:
             on_sent()
 
-    def wait_for_release(self, call_id: str, on_sent: Callable[[], None]) -> bool:
-        """Call this instead of what waits for a pending release; False: nothing does."""
-        pending = self.pending_releases.get(call_id)
-        if pending is None or pending.on_sent is None:
-            return False
-        self.pending_releases[call_id] = PendingRelease(pending.cause, on_sent)
-        return True
+    def end_attempt(self, call_id: str) -> None:
+        """The server has given the set-up of this call up: report it, unless that was done."""
+        report_end = self.ending.pop(call_id, None)
+        if report_end is not None:
+            report_end()
 
     def stop_waiting_for_releases(self) -> None:
         """No connection comes up for now: nothing waits for the pending releases any more."""
@@ -167,7 +167,8 @@
         self._unanswered_since_ms: float | None = None  # the first set-up sent since anything was last read
         self._bad_body = b""  # of a message that stopped short: what came after it is in there
         self._is_read_on = False  # whether it is read on after its end: see ``ended_connection``
-        self.half_close_deferred = False  # whether it is not closed for writing at first then
+        self._awaits_servers_end = False  # while it is read on
+        self._when_given_up: list[Callable[[], None]] = []  # see ``call_when_given_up``
         self._finder = MessageFinder()  # for what follows a bad message, where it is not
         self.set_ups_at_end: frozenset[str] = frozenset()  # calls whose set-ups were open then
 
@@ -255,8 +256,7 @@
         connection = duplicate(self.transport.get_extra_info("socket"))
         if connection is None:
             return None
-        self._is_read_on = True
-        self.half_close_deferred = defer_half_close
+        self._is_read_on = self._awaits_servers_end = True
         self.set_ups_at_end = frozenset(self.open_set_ups)
         if defer_half_close:
             for call_id, attempt in self.open_set_ups.items():
@@ -266,8 +266,26 @@
             unread,
             defer_half_close,
             lambda message, write: self._owner.on_message_after_end(self, message, write),
+            self._on_given_up,
         )
 
+    def call_when_given_up(self, action: Callable[[], None]) -> None:
+        """Call it once its server has ended it, too, and so given up the set-ups that were open on it.
+
+        It may read a cancellation late where it has sent what cannot be read, and need not answer it.  Called
+        at once where the server ended the connection itself, and after a bounded time where it never does.
+        """
+        if self._awaits_servers_end:
+            self._when_given_up.append(action)
+        else:
+            action()
+
+    def _on_given_up(self) -> None:
+        self._awaits_servers_end = False
+        actions, self._when_given_up = self._when_given_up, []
+        for action in actions:
+            action()
+
     def _shut_down_socket(self) -> None:
         if not self._is_read_on:
             super()._shut_down_socket()
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -109,17 +109,22 @@
             stream.waiting[call.id] = waiting
 
     def cancel(self, server_id: str, call_id: str, on_sent: Callable[[], None]) -> None:
-        """See ``ServerSide``: on the connection of the set-up, or not at all where it was never sent."""
+        """See ``ServerSide``: on the connection of the set-up, or not at all where it was never sent.
+
+        Where that connection is ended for what cannot be read, the set-up has been cancelled there.
+        """
         peer = self._peers.get(server_id)
-        streams = [] if peer is None else peer.streams
-        if peer is not None and peer.current is not None:
+        if peer is None:
+            on_sent()
+            return
+        if peer.current is not None:
             peer.current.waiting.pop(call_id, None)
-        for stream in streams:
-            attempt = stream.open_set_ups.pop(call_id, None)
-            if attempt is not None:
-                stream.send_cancel(call_id, attempt, on_sent)
-                return
-        if peer is None or not peer.wait_for_release(call_id, on_sent):
+        stream = next((stream for stream in peer.streams if call_id in stream.open_set_ups), None)
+        if call_id in peer.ending or (stream is not None and stream.unreadable):
+            peer.ending[call_id] = on_sent
+        elif stream is not None:
+            stream.send_cancel(call_id, stream.open_set_ups.pop(call_id), on_sent)
+        else:
             on_sent()
 
     def release(self, server_id: str | None, call_id: str, cause: int) -> None:
--- a/tests/test_ended_connections.py
+++ b/tests/test_ended_connections.py
@@ -19,7 +19,6 @@
 from canvasplank.config.discovery_events import Endpoint
 from canvasplank.network.ended_connection import MAX_OPEN_MS, MAX_READ_BYTES, MAX_UNREADABLE_MS, QUIET_MS
 from canvasplank.network.peer_table import MIN_RECONNECT_DELAY_MS
-from canvasplank.network.server_connections import CANCELLATION_NOTICE_MS
 from canvasplank.network.server_stream import Peer, ServerStream
 from canvasplank.network.stream import LINGER_MS, MAX_UNSENT_BYTES
 
@@ -328,15 +327,46 @@
     run(play, monkeypatch)
 
 
-def test_the_release_wait_of_what_is_cancelled_there_leaves_the_server_time_to_read_that(monkeypatch):
-    """It may read a cancellation late on a connection on which it has sent what cannot be read."""
+def leave(rig: Connections) -> None:
+    """Nothing else ends the attempt."""
+
+
+def cancel(rig: Connections) -> None:
+    """The decision module cancels the attempt, as one that waits in vain."""
+    rig.scheduler.begin_iteration()
+    rig.exchange._attempts.cancel(ID, 0)
+
+
+@pytest.mark.parametrize("at_once", [leave, cancel])
+@pytest.mark.parametrize("later", [leave, cancel])
+def test_the_release_wait_of_what_is_cancelled_there_counts_from_the_servers_end(monkeypatch, at_once, later):
+    """It may read a cancellation late where it has sent what cannot be read, and gives all up at the end.
+
+    The wait ran from 150 ms after the cancellation, and where the module cancelled it too, from then.
+    """
 
     async def play(rig: Connections) -> None:
         await rig.offer()
-        rig.accepted[0].sendall(NOISE)
+        rig.peer.current.abort_unreadable("a bad message")
+        at_once(rig)
+        await rig.let_pass(75.0)
+        later(rig)
+        await rig.let_pass(2 * RULES.release_ms)
+        assert len(rig.sent_ms) == 1
+        rig.accepted[0].close()
+        ended_ms = rig.now_ms
         await rig.until(lambda: len(rig.sent_ms) == 2)
-        assert rig.given_up_ms is not None
-        assert rig.sent_ms[1] - rig.given_up_ms >= RULES.release_ms + CANCELLATION_NOTICE_MS
+        assert rig.sent_ms[1] - ended_ms >= RULES.release_ms
+
+    run(play, monkeypatch)
+
+
+def test_a_call_waits_a_bounded_time_for_a_server_that_never_ends_its_side(monkeypatch):
+    async def play(rig: Connections) -> None:
+        await rig.offer()
+        rig.accepted[0].sendall(NOISE)
+        await rig.let_pass(QUIET_MS + LINGER_MS + RULES.release_ms + 100.0)
+        assert len(rig.sent_ms) == 2
 
     run(play, monkeypatch)
 
@@ -395,7 +425,7 @@
     async def play(rig: Connections) -> None:
         await rig.offer()
         old = rig.accepted[0]
-        await rig.end_unreadably()
+        rig.peer.current.abort_unsent()
         await rig.until(lambda: len(rig.sent_ms) == 2)
         rig.received()
         old.sendall(ANSWER)
