An upgraded process collects releases as the old one has ended, not 5 s after its start

After an upgrade callers kept calls that their server had ended for some seconds, or for good.

Cause: a server that ends a call as the old process ends writes the release on a connection that it takes for open, and then on the next one opened. The new process opened that 5 s after its start, whenever the old one had ended.

Change: the new process opens a connection to the old one before it listens itself, as a caller that only sends tests; that ends together with those to servers, and 0.4 s later the new one connects to each server once more. The 5 s stay for an old one that ends it sooner. The new test failed before.

Ruled out: connecting every half second, ten more connections to each server.

--- a/canvasplank/codecs/isup.py
+++ b/canvasplank/codecs/isup.py
@@ -155,6 +155,11 @@
     return encode(Message(Kind.PROGRESS, call_id))
 
 
+def test(call_id: str) -> bytes:
+    """An encoded test: whether new callers may be sent there."""
+    return encode(Message(Kind.TEST, call_id, {Parameter.CAUSE: b"\0"}))
+
+
 def test_result(call_id: str, passed: bool) -> bytes:
     """The encoded result of a test: whether new callers may be sent here."""
     return encode(Message(Kind.TEST_RESULT, call_id, {Parameter.CAUSE: bytes([passed])}))
--- a/canvasplank/program.py
+++ b/canvasplank/program.py
@@ -30,6 +30,7 @@
 from canvasplank.network.callers import Callers
 from canvasplank.network.discovery import Discovery
 from canvasplank.network.listener import is_port_in_use
+from canvasplank.network.predecessor import PredecessorStream
 from canvasplank.network.servers import Servers
 from canvasplank.network.stream import BufferBudget
 from canvasplank.policy import Controller
@@ -42,6 +43,8 @@
 MIB = 2**20
 # An old version beside this process is told to stop once this one is ready, and has ended by then.
 PREDECESSOR_END_MS = 5000.0
+# For call servers to notice that the connections of the old version have ended.
+SERVERS_NOTICE_MS = 400.0
 # Changes of these hold from the next start on.
 APPLIED_AT_START = ("name", "listen", "admin", "settings")
 
@@ -110,7 +113,7 @@
         if self._serving:
             host, port = parse_address(self.configuration.listen)
             if is_port_in_use(host, port):
-                self.scheduler.call_later(PREDECESSOR_END_MS, self.servers.renew_connections)
+                await self._watch_predecessor(host, port)
             self._callers.listen(host, port)
             self._listening = True
             LOG.info("%s listens on %s", self.configuration.name, self.configuration.listen)
@@ -123,6 +126,16 @@
             self.scheduler.begin_iteration()
             await extension.drain(self._shutdown.remaining_ms(self.scheduler.now_ms) / 1000)
 
+    async def _watch_predecessor(self, host: str, port: int) -> None:
+        """Have the servers send what the process that listens there leaves unconfirmed at its end."""
+        self.scheduler.call_later(PREDECESSOR_END_MS, self.servers.renew_connections)
+        predecessor = PredecessorStream(self.scheduler, self._budget, self._on_predecessor_ended)
+        await predecessor.connect(host, port)
+        self.scheduler.begin_iteration()
+
+    def _on_predecessor_ended(self) -> None:
+        self.scheduler.call_later(SERVERS_NOTICE_MS, self.servers.renew_connections)
+
     # -------------------------------------------------------------------------------- for the extensions
 
     def use_fleet_view(self, fleet_view: FleetView) -> None:
--- a/tests/test_project_rules.py
+++ b/tests/test_project_rules.py
@@ -168,6 +168,7 @@
     "runtime.event_loop",
     "network.stream",
     "network.connection_attempt",
+    "network.predecessor",
     "network.reconnect_backoff",
     "network.listener",
     "network.release_retransmission",
@@ -250,7 +251,14 @@
 }
 COMMON_MODULES = {
     f"network.{name}"
-    for name in ("connection_attempt", "listener", "reconnect_backoff", "release_retransmission", "stream")
+    for name in (
+        "connection_attempt",
+        "listener",
+        "predecessor",
+        "reconnect_backoff",
+        "release_retransmission",
+        "stream",
+    )
 }
 
 
--- a/tests/test_releases_across_processes.py
+++ b/tests/test_releases_across_processes.py
@@ -7,6 +7,7 @@
 import select
 import signal
 import socket
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -19,6 +20,7 @@
 from canvasplank.codecs import isup, sip
 from canvasplank.network.release_retransmission import CONFIRMATION_WINDOW_MS
 from canvasplank.network.server_stream import ServerStream
+from canvasplank.program import PREDECESSOR_END_MS
 
 STOPS_WHEN_CONFIRMED = pytest.mark.parametrize(
     "stops_when_confirmed", [True, False], ids=["till confirmed", "in any case"]
@@ -222,3 +224,19 @@
     async with asyncio.timeout(WAIT_S):
         while not rig.exchange.established_calls:
             await rig.step()
+
+
+def test_a_release_written_in_the_last_moment_of_the_old_process_is_collected_as_that_has_ended(tmp_path):
+    """The server had not noticed the end; the new process had it send that again 5 s after its start."""
+    server = StandInServer()
+    with established_call(tmp_path, server) as (deployment, _):
+        started_s = time.monotonic()
+        deployment.start()
+        server.accept()
+        old = deployment.processes[0]
+        old.send_signal(signal.SIGTERM)
+        assert old.wait(WAIT_S) == 0
+        server.release(ID)  # on the connection that has ended, which it has not read yet
+        server.accept()
+        assert time.monotonic() - started_s < PREDECESSOR_END_MS / 1000
+        assert_released(deployment)
