What a process could not settle at its end it releases at the new version beside it

Callers got a second final answer: a call that the old process had failed was released by the new one.

Cause: the call's server was out of reach as the old process failed the call and ended, so neither the cancellation nor the release arrived; it had established the call, ended it, and sent the release on the next connection, the new process's, which must take an unknown call for one that its caller counts on. The new test forces it, by a hung connection and by none that is up: both failed before.

Change: while it drains, a process releases such calls at its own address, where only its successor listens by then, as a caller would: those that are over here, and whose server was not heard since the cancellation or had no connection for the release. The successor remembers an unknown call as ended and releases it at every server, as it did for callers. No new message, nothing on disk.

Ruled out: ids in $TMPDIR, a file format between versions; waiting for the server, since the new process's connection would be the next one all the same. Open: restarts, where nobody listens then.

--- a/canvasplank/network/release_retransmission.py
+++ b/canvasplank/network/release_retransmission.py
@@ -48,6 +48,10 @@
 
     def take_sent_after(self, since_ms: float) -> list[tuple[str, int]]:
         """Remove all, and return call and cause of those sent after this time, the oldest first."""
-        recent = [(call_id, sent.cause) for call_id, sent in self.items() if sent.sent_ms > since_ms]
+        recent = [(call_id, self[call_id].cause) for call_id in self.sent_after(since_ms)]
         self.clear()
         return recent
+
+    def sent_after(self, since_ms: float) -> list[str]:
+        """The calls of those sent after this time, the oldest first."""
+        return [call_id for call_id, sent in self.items() if sent.sent_ms > since_ms]
--- a/canvasplank/network/server_stream.py
+++ b/canvasplank/network/server_stream.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -122,6 +123,14 @@
                 carrier = self.current if self.current is not None and self.current.is_open else stream
                 carrier.send_release(call_id, cause)
 
+    def unsettled_calls(self) -> list[str]:
+        """Calls that may be established there although they were cancelled or released by this process.
+
+        Nothing was read on the connection since the cancellation, or none has carried the release yet.
+        """
+        unheard = (stream.cancelled.sent_after(stream.last_received_ms) for stream in self.streams)
+        return [*itertools.chain.from_iterable(unheard), *self.pending_releases]
+
     def resend_unconfirmed(self, stream: ServerStream) -> None:
         """Send again what may never have been read on a connection that is no longer the current one."""
         since_ms = stream.last_received_ms - CONFIRMATION_WINDOW_MS
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -78,6 +78,11 @@
         sent = (release for stream in peer.streams for release in stream.unconfirmed.values())
         return bool(peer.pending_releases) or any(release.sent_ms > since_ms for release in sent)
 
+    def unsettled_calls(self) -> list[str]:
+        """Calls that are over here, and that a server which was not heard may yet release."""
+        unsettled = (call_id for peer in self._peers.values() for call_id in peer.unsettled_calls())
+        return [call_id for call_id in unsettled if self.exchange.is_over(call_id)]
+
     def limit(self, sockets: int) -> None:
         """Take a new limit of the program's sockets."""
         self._connections.limit(sockets)
--- a/canvasplank/program.py
+++ b/canvasplank/program.py
@@ -33,6 +33,7 @@
 from canvasplank.network.predecessor import PredecessorStream
 from canvasplank.network.servers import Servers
 from canvasplank.network.stream import BufferBudget
+from canvasplank.network.successor import Successor
 from canvasplank.policy import Controller
 from canvasplank.runtime import signals, structured_logging
 from canvasplank.runtime.event_loop import PipeEventLoop
@@ -43,6 +44,7 @@
 MIB = 2**20
 # An old version beside this process is told to stop once this one is ready, and has ended by then.
 PREDECESSOR_END_MS = 5000.0
+SUCCESSOR_TIMEOUT_S = 0.2  # for another process at this address to confirm what is passed on to it
 # For call servers to notice that the connections of the old version have ended.
 SERVERS_NOTICE_MS = 400.0
 # Changes of these hold from the next start on.
@@ -91,6 +93,7 @@
             random.Random(int(configuration.seed, 16)),
         )
         self._shutdown = Shutdown(max(c.deadline_ms for c in settings.classes))
+        self._successor = Successor(self.scheduler, self._budget, configuration.listen)
         self._done = asyncio.Event()
         self._listening = False
         self._admin = Admin(self)
@@ -122,6 +125,8 @@
             LOG.info("the operators' address is %s", self.configuration.admin)
         await self._done.wait()
         self._admin.close()
+        remaining_s = self._shutdown.remaining_ms(self.scheduler.now_ms) / 1000
+        await self._successor.close(min(SUCCESSOR_TIMEOUT_S, remaining_s))
         for extension in self._extensions:
             self.scheduler.begin_iteration()
             await extension.drain(self._shutdown.remaining_ms(self.scheduler.now_ms) / 1000)
@@ -241,6 +246,8 @@
         before, now_ms = self._shutdown.phase, self.scheduler.now_ms
         if before is Phase.DRAINING and self._shutdown.is_out_of_time(now_ms):
             self.exchange.fail_all()
+        if before is Phase.DRAINING:  # nobody listens here any more but the successor
+            self._successor.release(self.servers.unsettled_calls())
         phase = self._shutdown.advance(
             now_ms,
             open_calls=self.exchange.open_calls,
--- a/tests/test_project_rules.py
+++ b/tests/test_project_rules.py
@@ -169,6 +169,7 @@
     "network.stream",
     "network.connection_attempt",
     "network.predecessor",
+    "network.successor",
     "network.reconnect_backoff",
     "network.listener",
     "network.release_retransmission",
@@ -258,6 +259,7 @@
         "reconnect_backoff",
         "release_retransmission",
         "stream",
+        "successor",
     )
 }
 
--- a/tests/test_releases_across_processes.py
+++ b/tests/test_releases_across_processes.py
@@ -105,7 +105,11 @@
 def assert_not_released_by_the_next_process(deployment: Deployment, server: StandInServer) -> None:
     """The next process starts, and hands its callers what the server still releases: not a failed call."""
     deployment.start()
-    connection = server.accept()
+    assert_not_released(deployment, server, server.accept())
+
+
+def assert_not_released(deployment: Deployment, server: StandInServer, connection: socket.socket) -> None:
+    """The process at this connection hands its callers what the server releases: not a failed call."""
     server.established[MARKER_ID] = connection
     for call_id in list(server.established):
         server.release(call_id)
@@ -154,6 +158,40 @@
         deployment.stop()
 
 
+def hang(server: StandInServer, connection: socket.socket) -> None:
+    """Nothing passes on the connection any more, and no other comes up."""
+
+
+def end_unreadably(server: StandInServer, connection: socket.socket) -> None:
+    """The process ends the connection, and no other comes up to carry the release."""
+    server.listener.close()
+    connection.sendall(b"noise\r\n\r\n")
+
+
+@pytest.mark.parametrize("disturb", [hang, end_unreadably])
+def test_a_call_that_failed_while_its_server_was_out_of_reach_fails_once_across_an_upgrade(tmp_path, disturb):
+    """The server established it, and released it to the new process, which passed that on."""
+    server = StandInServer()
+    deployment = Deployment(tmp_path, [server], BRIEF_SETTINGS)
+    try:
+        old = deployment.start()
+        out_of_reach = server.accept()
+        with deployment.caller() as caller:
+            caller.sendall(set_up())
+            server.read_until(out_of_reach, "INVITE")
+            deployment.start()
+            connection = server.accept()
+            disturb(server, out_of_reach)
+            failed_by_the_end_of_the_process(deployment, caller)
+        assert old.wait(WAIT_S) == 0
+        server.connections.remove(out_of_reach)
+        server.established[ID] = connection  # its answer was lost
+        assert_not_released(deployment, server, connection)
+        out_of_reach.close()
+    finally:
+        deployment.stop()
+
+
 REFUSED = f"SIP/2.0 487 X\r\nCall-ID: {ID}\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n".encode()
 REPORTED = sip.request("NOTIFY", "exchange", "0" * 16, 1)
 
--- /dev/null
+++ b/tests/test_successor.py
@@ -0,0 +1,166 @@
+"""What a process that ends passes on to the one that serves its address next."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+from race_conditions import ID, WAIT_S, run_coroutine
+from server_side import ServerSide, offered_call
+from test_operations import free_port
+
+from canvasplank.codecs import isup, sip
+from canvasplank.network.predecessor import NO_CALL_ID, TEST_INTERVAL_MS, PredecessorStream
+from canvasplank.network.stream import BufferBudget
+from canvasplank.network.successor import Successor
+from canvasplank.runtime.scheduler import Scheduler, TimerQueue
+
+OTHER_ID = "bb" * 8
+
+
+class Listener:
+    """A process at the address that confirms releases or ignores them, and answers tests."""
+
+    def __init__(self, *, confirms: bool = True) -> None:
+        self.connections: list[asyncio.StreamWriter] = []
+        self.received: list[tuple[isup.Kind, str]] = []
+        self._confirms = confirms
+
+    async def start(self) -> str:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        self._server.close()
+        for connection in self.connections:
+            connection.close()
+
+    async def until(self, happened: Callable[[], bool]) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while not happened():
+                await asyncio.sleep(0.005)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections.append(writer)
+        parser = isup.Parser()
+        while data := await reader.read(65_536):
+            for message in parser.feed(data):
+                self.received.append((isup.Kind(message.kind), message.call_id))
+                if message.kind == isup.Kind.TEST:
+                    writer.write(isup.test_result(message.call_id, True))
+                elif self._confirms:
+                    writer.write(isup.release_confirmed(message.call_id))
+
+
+def successor(address: str) -> Successor:
+    return Successor(Scheduler(TimerQueue()), BufferBudget(1e6), address)
+
+
+def test_each_call_is_released_once_on_one_connection():
+    async def run() -> None:
+        listener = Listener()
+        passed_on = successor(await listener.start())
+        passed_on.release([ID])
+        passed_on.release([ID, OTHER_ID])
+        await listener.until(lambda: len(listener.received) == 2)
+        passed_on.release([ID])
+        await passed_on.close(WAIT_S)
+        assert listener.received == [(isup.Kind.RELEASE, ID), (isup.Kind.RELEASE, OTHER_ID)]
+        assert len(listener.connections) == 1
+        await listener.stop()
+
+    run_coroutine(run())
+
+
+@pytest.mark.parametrize("listens", [True, False])
+def test_the_end_of_a_process_waits_a_bounded_time_for_its_successor(listens):
+    async def run() -> None:
+        listener = Listener(confirms=False)
+        passed_on = successor(await listener.start() if listens else f"127.0.0.1:{free_port()}")
+        passed_on.release([ID])
+        async with asyncio.timeout(WAIT_S):
+            await passed_on.close(0.1 if listens else 2 * WAIT_S)
+        if listens:
+            await listener.stop()
+
+    run_coroutine(run())
+
+
+def test_without_anything_to_pass_on_nobody_is_connected_to():
+    async def run() -> None:
+        listener = Listener()
+        await successor(await listener.start()).close(WAIT_S)
+        await asyncio.sleep(0)
+        assert not listener.connections
+        await listener.stop()
+
+    run_coroutine(run())
+
+
+async def abandon(rig: ServerSide) -> None:
+    """The caller gives the call up, and its attempt is cancelled."""
+    rig.scheduler.begin_iteration()
+    rig.exchange.on_released_by_caller(ID, 16)
+    await rig.step()
+
+
+async def hear(rig: ServerSide) -> None:
+    """The server reports its circuits on the connection of the set-up."""
+    stream, report = rig.first_stream(), sip.request("NOTIFY", "exchange", "0" * 16, 1)
+    stream.get_buffer(0)[: len(report)] = report
+    stream.buffer_updated(len(report))
+    await rig.step()
+
+
+@pytest.mark.parametrize(
+    ("steps", "unsettled"),
+    [
+        pytest.param([], [], id="still open"),
+        pytest.param([abandon], [ID], id="given up, and its server not heard since"),
+        pytest.param([abandon, hear], [], id="its server heard since"),
+    ],
+)
+def test_calls_that_a_server_may_yet_release_are_unsettled(monkeypatch, steps, unsettled):
+    async def run() -> list[str]:
+        async with offered_call(monkeypatch) as rig:
+            await rig.step()
+            for step in steps:
+                await step(rig)
+            return rig.servers.unsettled_calls()
+
+    assert run_coroutine(run()) == unsettled
+
+
+def test_a_call_that_is_established_elsewhere_is_settled(monkeypatch):
+    """Its release at the successor would end the call that its caller counts on."""
+
+    async def run() -> list[str]:
+        async with offered_call(monkeypatch) as rig:
+            stream = rig.first_stream()
+            await rig.step()
+            stream.send_cancel(ID, 0, lambda: None)
+            rig.exchange.on_established(rig.first_server, ID, 0, b"v=0 answer")
+            return rig.servers.unsettled_calls()
+
+    assert run_coroutine(run()) == []
+
+
+def test_a_predecessor_is_sent_tests_until_it_ends_the_connection():
+    async def run() -> None:
+        listener, ended = Listener(), asyncio.Event()
+        host, port = (await listener.start()).split(":")
+        clock = [1_000_000.0]
+        scheduler = Scheduler(TimerQueue(), clock=lambda: clock[0])
+        await PredecessorStream(scheduler, BufferBudget(1e6), ended.set).connect(host, int(port))
+        await listener.until(lambda: len(listener.received) == 1)
+        clock[0] += TEST_INTERVAL_MS
+        scheduler.begin_iteration()
+        await listener.until(lambda: len(listener.received) == 2)
+        assert set(listener.received) == {(isup.Kind.TEST, NO_CALL_ID)}
+        assert not ended.is_set()
+        await listener.stop()
+        async with asyncio.timeout(WAIT_S):
+            await ended.wait()
+
+    run_coroutine(run())
