A SIGTERM while the predecessor is connected to opens no listener

Found in reviewing: between the test whether the process still serves and the listener lies a wait since then, for the connection to the old version. A SIGTERM in it opened a listener that served nobody.

--- a/canvasplank/program.py
+++ b/canvasplank/program.py
@@ -113,10 +113,10 @@
         for extension in self._extensions:
             await extension.start()
         self.discovery.start()
+        host, port = parse_address(self.configuration.listen)
+        if self._serving and is_port_in_use(host, port):
+            await self._watch_predecessor(host, port)
         if self._serving:
-            host, port = parse_address(self.configuration.listen)
-            if is_port_in_use(host, port):
-                await self._watch_predecessor(host, port)
             self._callers.listen(host, port)
             self._listening = True
             LOG.info("%s listens on %s", self.configuration.name, self.configuration.listen)
--- a/tests/test_race_conditions_shutdown.py
+++ b/tests/test_race_conditions_shutdown.py
@@ -19,6 +19,7 @@
 
 from canvasplank.codecs import isup
 from canvasplank.config.configuration import load_configuration
+from canvasplank.network.predecessor import PredecessorStream
 from canvasplank.program import Program
 from canvasplank.runtime.shutdown import LAME_DUCK_MS
 
@@ -236,3 +237,20 @@
 
     run_coroutine(run())
     assert was_listening == [False]
+
+
+def test_sigterm_while_a_predecessor_is_connected_to_opens_no_listener(tmp_path, monkeypatch):
+    async def run() -> bool:
+        program = ProgramWithoutServers(tmp_path).program([])
+
+        async def connect(*_) -> None:
+            program._terminate()
+            await asyncio.sleep(0.05)
+
+        monkeypatch.setattr("canvasplank.program.is_port_in_use", lambda *_: True)
+        monkeypatch.setattr(PredecessorStream, "connect", connect)
+        async with asyncio.timeout(WAIT_S):
+            await program.run()
+        return program._listening
+
+    assert run_coroutine(run()) is False
