--- a/tests/test_releases_across_processes.py
+++ b/tests/test_releases_across_processes.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Iterator
 from pathlib import Path
+from typing import NamedTuple
 
 import pytest
 from exchange_replay import SETTINGS
@@ -27,22 +28,41 @@
 )
 
 
+class AttemptedCall(NamedTuple):
+    """A call that is out at its server, which has read its set-up on this connection."""
+
+    deployment: Deployment
+    caller: socket.socket
+    connection: socket.socket
+    invite: sip.Message
+
+
 @contextlib.contextmanager
-def established_call(folder: Path, server: StandInServer) -> Iterator[tuple[Deployment, socket.socket]]:
-    """A process, and the caller of a call that it has established at the server."""
-    deployment = Deployment(folder, [server])
+def attempted_call(
+    folder: Path, server: StandInServer, settings: dict | None = None
+) -> Iterator[AttemptedCall]:
+    """A process, and a call that it has sent to the server."""
+    deployment = Deployment(folder, [server], settings)
     try:
         deployment.start()
         connection = server.accept()
         with deployment.caller() as caller:
             caller.sendall(set_up())
-            server.answer(connection, server.read_until(connection, "INVITE"))
-            read_message(caller, isup.Kind.ANSWER)
-            yield deployment, caller
+            invite = server.read_until(connection, "INVITE")
+            yield AttemptedCall(deployment, caller, connection, invite)
     finally:
         deployment.stop()
 
 
+@contextlib.contextmanager
+def established_call(folder: Path, server: StandInServer) -> Iterator[tuple[Deployment, socket.socket]]:
+    """A process, and the caller of a call that it has established at the server."""
+    with attempted_call(folder, server) as (deployment, caller, connection, invite):
+        server.answer(connection, invite)
+        read_message(caller, isup.Kind.ANSWER)
+        yield deployment, caller
+
+
 def release_to_a_closing_caller(deployment: Deployment, caller: socket.socket) -> None:
     """Have the old process told to stop, and the call released as its caller closes its connection."""
     old, [server] = deployment.processes[0], deployment.servers
@@ -120,42 +140,26 @@
 def test_a_call_whose_answer_crosses_its_cancellation_at_the_end_of_the_process_fails_once(tmp_path):
     """Its server established it; the next process passed its release on, a second final answer."""
     server = StandInServer()
-    deployment = Deployment(tmp_path, [server], BRIEF_SETTINGS)
-    try:
-        old = deployment.start()
-        connection = server.accept()
-        with deployment.caller() as caller:
-            caller.sendall(set_up())
-            invite = server.read_until(connection, "INVITE")
-            failed_by_the_end_of_the_process(deployment, caller)
+    with attempted_call(tmp_path, server, BRIEF_SETTINGS) as (deployment, caller, connection, invite):
+        failed_by_the_end_of_the_process(deployment, caller)
         server.answer(connection, invite)  # before it has read the cancellation
-        assert old.wait(WAIT_S) == 0
+        assert deployment.processes[0].wait(WAIT_S) == 0
         server.read_all_to_the_end()
         assert_not_released_by_the_next_process(deployment, server)
-    finally:
-        deployment.stop()
 
 
 def test_a_call_whose_cancellation_hangs_at_the_end_of_the_process_fails_once(tmp_path):
     """The connection of its set-up passes nothing on any more; another is up by the end of the process."""
     server = StandInServer()
-    deployment = Deployment(tmp_path, [server])
-    try:
-        old = deployment.start()
-        hung = server.accept()
-        with deployment.caller() as caller:
-            caller.sendall(set_up())
-            server.read_until(hung, "INVITE")
-            server.established[ID] = hung  # and its answer is lost
-            server.accept()
-            failed_by_the_end_of_the_process(deployment, caller)
-        assert old.wait(WAIT_S) == 0
+    with attempted_call(tmp_path, server) as (deployment, caller, hung, _):
+        server.established[ID] = hung  # and its answer is lost
+        server.accept()
+        failed_by_the_end_of_the_process(deployment, caller)
+        assert deployment.processes[0].wait(WAIT_S) == 0
         server.connections.remove(hung)
         server.read_all_to_the_end()
         hung.close()
         assert_not_released_by_the_next_process(deployment, server)
-    finally:
-        deployment.stop()
 
 
 def hang(server: StandInServer, connection: socket.socket) -> None:
@@ -172,24 +176,16 @@
 def test_a_call_that_failed_while_its_server_was_out_of_reach_fails_once_across_an_upgrade(tmp_path, disturb):
     """The server established it, and released it to the new process, which passed that on."""
     server = StandInServer()
-    deployment = Deployment(tmp_path, [server], BRIEF_SETTINGS)
-    try:
-        old = deployment.start()
-        out_of_reach = server.accept()
-        with deployment.caller() as caller:
-            caller.sendall(set_up())
-            server.read_until(out_of_reach, "INVITE")
-            deployment.start()
-            connection = server.accept()
-            disturb(server, out_of_reach)
-            failed_by_the_end_of_the_process(deployment, caller)
-        assert old.wait(WAIT_S) == 0
+    with attempted_call(tmp_path, server, BRIEF_SETTINGS) as (deployment, caller, out_of_reach, _):
+        deployment.start()
+        connection = server.accept()
+        disturb(server, out_of_reach)
+        failed_by_the_end_of_the_process(deployment, caller)
+        assert deployment.processes[0].wait(WAIT_S) == 0
         server.connections.remove(out_of_reach)
         server.established[ID] = connection  # its answer was lost
         assert_not_released(deployment, server, connection)
         out_of_reach.close()
-    finally:
-        deployment.stop()
 
 
 REFUSED = f"SIP/2.0 487 X\r\nCall-ID: {ID}\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n".encode()
