--- a/experiments/soak/callers.py
+++ b/experiments/soak/callers.py
@@ -170,6 +170,7 @@
 
     def _write_set_up(self, connection: Connection, call: CallerCall, kind: CallerClass) -> None:
         call.sent_s = connection.used_s = time.time()
+        call.exchanges.append((call.sent_s, f"its set-up goes to {connection.address}"))
         parameters: dict[int, bytes] = {
             isup.Parameter.CLASS: kind.name.encode(),
             isup.Parameter.WAIT: b"%d" % max(1, (call.deadline_s - call.sent_s) * 1000),
@@ -218,6 +219,8 @@
         if call is None:
             return
         now_s = time.time()
+        kind = isup.Kind(message.kind).name.lower()
+        call.exchanges.append((now_s, f"its caller reads from {connection.address}: {kind}"))
         if message.kind == isup.Kind.ANSWER:
             self._on_final_answer(connection, call, Answer.SERVED)
             connection.established.add(call.call_id)
--- a/experiments/soak/report.py
+++ b/experiments/soak/report.py
@@ -44,6 +44,7 @@
         events.append((call.deadline_s, "its caller's deadline"))
         events += [(at_s, f"its caller gets: {answer.value}") for at_s, answer in call.answers]
         events += [(at_s, "its caller gets a release") for at_s in call.releases_s]
+        events += call.exchanges
         events += [(at_s, text) for at_s, text in _ends_at_caller(trace, call_id) if at_s is not None]
     for attempt in trace.attempts:
         if attempt.call_id == call_id:
--- a/verification/call_trace.py
+++ b/verification/call_trace.py
@@ -38,6 +38,7 @@
     abandoned_s: float | None = None  # the caller gave it up, or released it
     lost_s: float | None = None  # its connection ended without an answer, and no crossing explains it
     resent: bool = False  # its set-up crossed the end of its connection, and was sent once more
+    exchanges: list[tuple[float, str]] = field(default_factory=list)  # what passed, and at which address
 
     @property
     def served_s(self) -> float | None:
