Names: a call is finished, ends are detected; words of the new docstrings

Renames and docstrings only, after reading the whole change: is_over, SERVERS_NOTICE_MS and four words. No behaviour and no assertion changes.

--- a/canvasplank/exchange/exchange.py
+++ b/canvasplank/exchange/exchange.py
@@ -226,7 +226,7 @@
         call = self._table.established.get(call_id)
         return call is not None and call.established_server_id == server_id
 
-    def is_over(self, call_id: str) -> bool:
+    def is_finished(self, call_id: str) -> bool:
         """Whether this call has had its final answer, and is not established."""
         call = self._table.find(call_id)
         return call is None or (not call.unanswered and call.established_server_id is None)
--- a/canvasplank/network/predecessor.py
+++ b/canvasplank/network/predecessor.py
@@ -20,7 +20,7 @@
 
 
 class PredecessorStream(Stream[isup.Message]):
-    """A connection to the predecessor, for as long as that keeps it."""
+    """A connection to the predecessor, until that ends it."""
 
     def __init__(self, scheduler: Scheduler, budget: BufferBudget, on_ended: Callable[[], None]) -> None:
         """``on_ended`` is called when the connection has ended, and not where it never came up."""
@@ -44,7 +44,7 @@
             self.scheduler.call_later(TEST_INTERVAL_MS, self._send_test)
 
     def on_received(self, data: memoryview) -> None:
-        """See ``Stream``: results of tests, which tell nothing here."""
+        """See ``Stream``: results of tests, which are discarded."""
         for _ in self.messages(data):
             pass
 
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -79,9 +79,9 @@
         return bool(peer.pending_releases) or any(release.sent_ms > since_ms for release in sent)
 
     def unsettled_calls(self) -> list[str]:
-        """Calls that are over here, and that a server which was not heard may yet release."""
+        """Calls that are over here, and that a server may yet release: nothing was received from it since."""
         unsettled = (call_id for peer in self._peers.values() for call_id in peer.unsettled_calls())
-        return [call_id for call_id in unsettled if self.exchange.is_over(call_id)]
+        return [call_id for call_id in unsettled if self.exchange.is_finished(call_id)]
 
     def limit(self, sockets: int) -> None:
         """Take a new limit of the program's sockets."""
--- a/canvasplank/program.py
+++ b/canvasplank/program.py
@@ -45,8 +45,8 @@
 # An old version beside this process is told to stop once this one is ready, and has ended by then.
 PREDECESSOR_END_MS = 5000.0
 SUCCESSOR_TIMEOUT_S = 0.2  # for another process at this address to confirm what is passed on to it
-# For call servers to notice that the connections of the old version have ended.
-SERVERS_NOTICE_MS = 400.0
+# For call servers to detect that the connections of the old version have ended.
+END_DETECTION_MS = 400.0
 # Changes of these hold from the next start on.
 APPLIED_AT_START = ("name", "listen", "admin", "settings")
 
@@ -139,7 +139,7 @@
         self.scheduler.begin_iteration()
 
     def _on_predecessor_ended(self) -> None:
-        self.scheduler.call_later(SERVERS_NOTICE_MS, self.servers.renew_connections)
+        self.scheduler.call_later(END_DETECTION_MS, self.servers.renew_connections)
 
     # -------------------------------------------------------------------------------- for the extensions
 
