A process drains on while a server may yet release a call that has failed

Callers got a second final answer on a restart: a call that the old process had failed was released by the next one. Cause: its server was out of reach as it failed, so the cancellation was lost; it had established the call, ended it, and sent the release on the next connection opened. The process ended as soon as no call was open, up to 2.5 s before it had to, and what was cancelled on a connection that hung was forgotten with it.

Evidence: the order was known by reading only. A process now logs which calls are unsettled as it ends.

Change: draining goes on while calls are unsettled (cancelled or released, and their server not heard since), until 0.5 s before SIGKILL may come; what was cancelled on a connection that ended unheard is released on the next. So the server's release comes to the process that knows the call. Not where calls are established and no caller is connected: their releases are the next process's.

--- a/canvasplank/network/server_connections.py
+++ b/canvasplank/network/server_connections.py
@@ -147,7 +147,7 @@
         self.exchange.counters.add("sockets.servers")
         # Releases first: a pending one for an earlier attempt would end the call's next.
         for call_id, pending in peer.take_pending_releases():
-            stream.send_release(call_id, pending.cause, pending.on_sent)
+            stream.release_unsettled(call_id, pending.cause, pending.on_sent)
         for waiting in stream.waiting.values():
             stream.send_set_up(waiting)
         stream.waiting.clear()
@@ -161,6 +161,7 @@
         peer.streams.remove(stream)
         if peer.current is stream:
             peer.current = None
+        peer.release_unheard(stream)
         peer.resend_unconfirmed(stream)
         for call_id, attempt in stream.take_open_set_ups():
             self._on_set_up_reset(stream, call_id, attempt)
--- a/canvasplank/network/server_stream.py
+++ b/canvasplank/network/server_stream.py
@@ -123,6 +123,11 @@
                 carrier = self.current if self.current is not None and self.current.is_open else stream
                 carrier.send_release(call_id, cause)
 
+    def settle(self, call_id: str) -> None:
+        """The server has released this call, or confirmed its release: it has nothing more to send of it."""
+        for stream in self.streams:
+            stream.cancelled.pop(call_id, None)
+
     def unsettled_calls(self) -> list[str]:
         """Calls that may be established there although they were cancelled or released by this process.
 
@@ -131,6 +136,14 @@
         unheard = (stream.cancelled.sent_after(stream.last_received_ms) for stream in self.streams)
         return [*itertools.chain.from_iterable(unheard), *self.pending_releases]
 
+    def release_unheard(self, stream: ServerStream) -> None:
+        """Release what was cancelled on a connection that has ended, if nothing was read there since."""
+        for call_id, cause in stream.cancelled.take_sent_after(stream.last_received_ms):
+            if self.current is not None and self.current.is_open:
+                self.current.release_unsettled(call_id, cause)
+            else:
+                self.send_release(call_id, cause)
+
     def resend_unconfirmed(self, stream: ServerStream) -> None:
         """Send again what may never have been read on a connection that is no longer the current one."""
         since_ms = stream.last_received_ms - CONFIRMATION_WINDOW_MS
@@ -164,7 +177,8 @@
         self.open_set_ups: dict[str, int] = {}  # attempt numbers of the set-ups sent here and unanswered
         self.waiting: dict[str, WaitingSetUp] = {}  # until it is up
         self.unconfirmed = UnconfirmedReleases()
-        # Attempts cancelled here that have not ended, each with the release that is due if it was answered.
+        # Attempts cancelled here that have not ended, each with the release that is due if it was answered,
+        # and calls released here that may be established although an earlier connection has ended.
         self.cancelled = UnconfirmedReleases()
         self.established: set[str] = set()  # calls set up here: the server releases them here
         self.connecting: ConnectionAttempt | None = None
@@ -329,6 +343,11 @@
         if on_sent is not None:
             self.call_when_sent(on_sent)
 
+    def release_unsettled(self, call_id: str, cause: int, on_sent: Callable[[], None] | None = None) -> None:
+        """Write the release of a call that counts as unsettled until its server is heard here."""
+        self.cancelled.add(call_id, cause, self.scheduler.read_clock())
+        self.send_release(call_id, cause, on_sent)
+
     def take_waiting(self) -> list[tuple[str, WaitingSetUp]]:
         """Remove the set-ups that wait for it to come up, and return them by call."""
         waiting = list(self.waiting.items())
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -203,6 +203,7 @@
             # An id that is no call's must reach neither the callers nor the exchange's memory of ended calls.
             confirm()
             return
+        stream.peer.settle(message.call_id)
         cause = ReleaseCause.NORMAL_CLEARING if message.cause is None else message.cause
         report = self._load_reports.report(parse_gauges(message))
         self.exchange.on_released_by_server(stream.peer.server_id, message.call_id, cause, report, confirm)
@@ -210,6 +211,7 @@
     def _on_response(self, stream: ServerStream, message: sip.Message) -> None:
         if message.method == "BYE":
             stream.unconfirmed.pop(message.call_id, None)
+            stream.peer.settle(message.call_id)
         if message.method == "OPTIONS":
             report = self._load_reports.report(parse_gauges(message))
             self._on_probe_ended(message.call_id, message.status == OK, report)
--- a/canvasplank/network/successor.py
+++ b/canvasplank/network/successor.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from canvasplank.codecs import isup
 from canvasplank.codecs.q850 import ReleaseCause
@@ -24,11 +24,15 @@
 class SuccessorStream(Stream[isup.Message]):
     """A connection to the successor; it carries releases, and their confirmations."""
 
-    def __init__(self, scheduler: Scheduler, budget: BufferBudget, address: str) -> None:
+    def __init__(
+        self, scheduler: Scheduler, budget: BufferBudget, address: str, on_confirmed: Callable[[str], None]
+    ) -> None:
+        """``on_confirmed`` is given the call of each release that is confirmed."""
         super().__init__(scheduler, "successor", isup.Parser(), budget)
         self.settled = asyncio.Event()  # all are confirmed, or will not be
         self.ended = False  # or it never came up
         self._unconfirmed: dict[str, None] = {}
+        self._on_confirmed = on_confirmed
         ConnectionAttempt(self, address, CONNECT_TIMEOUT_MS, lambda _reason: self.on_disconnected(None))
 
     def release(self, call_id: str) -> None:
@@ -51,6 +55,7 @@
         for message in self.messages(data):
             if message.kind == isup.Kind.RELEASE_CONFIRMED:
                 self._unconfirmed.pop(message.call_id, None)
+                self._on_confirmed(message.call_id)
         if not self._unconfirmed:
             self.settled.set()
 
@@ -68,6 +73,7 @@
         self._scheduler, self._budget, self._address = scheduler, budget, address
         self._stream: SuccessorStream | None = None
         self._released: set[str] = set()
+        self._confirmed: set[str] = set()
 
     def release(self, call_ids: Iterable[str]) -> None:
         """Have it release these calls, each once."""
@@ -76,9 +82,15 @@
                 continue
             self._released.add(call_id)
             if self._stream is None or self._stream.ended:
-                self._stream = SuccessorStream(self._scheduler, self._budget, self._address)
+                self._stream = SuccessorStream(
+                    self._scheduler, self._budget, self._address, self._confirmed.add
+                )
             self._stream.release(call_id)
 
+    def has_confirmed(self, call_id: str) -> bool:
+        """Whether it has confirmed the release of this call, and so passes no other on."""
+        return call_id in self._confirmed
+
     async def close(self, within_s: float) -> None:
         """Wait until all is confirmed, for a bounded time, and end the connection."""
         if self._stream is None:
--- a/canvasplank/program.py
+++ b/canvasplank/program.py
@@ -246,19 +246,21 @@
         before, now_ms = self._shutdown.phase, self.scheduler.now_ms
         if before is Phase.DRAINING and self._shutdown.is_out_of_time(now_ms):
             self.exchange.fail_all()
-        if before is Phase.DRAINING:  # nobody listens here any more but the successor
-            self._successor.release(self.servers.unsettled_calls())
+        unsettled = self._settle_calls() if before is Phase.DRAINING else []
         phase = self._shutdown.advance(
             now_ms,
             open_calls=self.exchange.open_calls,
             unsent=self._callers.unsent(),
             connections=len(self._callers.streams),
+            unsettled=len(unsettled),
         )
         if phase is not before:
             match phase:
                 case Phase.DRAINING:
                     self._callers.stop_listening()
                 case Phase.DISCONNECTING:
+                    if unsettled:
+                        LOG.warning("failed, and may yet be released by a server: %s", " ".join(unsettled))
                     self.servers.disconnect()
                     self._callers.disconnect()
                 case Phase.STOPPED:
@@ -266,6 +268,18 @@
         if phase is not Phase.STOPPED:
             self._schedule_shutdown_check()
 
+    def _settle_calls(self) -> list[str]:
+        """Have no server release a failed call to the next process; gives those that may yet be.
+
+        Nobody listens here any more but the successor.  Where releases of established calls could be passed
+        on to nobody, their servers are not waited for, so that they go to the next process.
+        """
+        unsettled = self.servers.unsettled_calls()
+        self._successor.release(unsettled)
+        if self.exchange.established_calls and not self._callers.streams:
+            return []
+        return [call_id for call_id in unsettled if not self._successor.has_confirmed(call_id)]
+
 
 def serve() -> int:
     """Run by the environment's configuration; gives the exit status.
--- a/canvasplank/runtime/shutdown.py
+++ b/canvasplank/runtime/shutdown.py
@@ -12,6 +12,8 @@
 MAX_CALL_DEADLINE_MS = 3000.0  # a call's deadline counts as no longer than this
 FAIL_BEFORE_KILL_MS = 300.0  # calls that are open so long before the process may be killed are failed
 FLUSH_MS = 100.0  # after that, for the last bytes to be sent
+SETTLE_BEFORE_KILL_MS = 500.0  # until then servers may settle calls that have failed
+SETTLED_MS = 250.0  # so long after the last was settled, for what its server has sent to be read
 DISCONNECT_MS = 100.0  # for callers to see their connections end; what crosses the end arrives within 50 ms
 FINISH_BEFORE_KILL_MS = 100.0  # everything is done so long before the process may be killed
 CHECK_INTERVAL_MS = 20.0
@@ -36,6 +38,7 @@
         self._kill_after_ms = min(MAX_CALL_DEADLINE_MS, max_deadline_ms) + LAME_DUCK_MS
         self._started_ms = 0.0
         self._entered_ms = 0.0
+        self._unsettled_ms = float("-inf")  # when a call was last unsettled
 
     def begin(self, now_ms: float) -> bool:
         """Begin to shut down, on SIGTERM; False: it had begun already, and nothing changes."""
@@ -59,23 +62,35 @@
             return max(1.0, self._started_ms + LAME_DUCK_MS - now_ms)
         return CHECK_INTERVAL_MS
 
-    def advance(self, now_ms: float, *, open_calls: int, unsent: int, connections: int) -> Phase:
+    def advance(
+        self, now_ms: float, *, open_calls: int, unsent: int, connections: int, unsettled: int = 0
+    ) -> Phase:
         """Enter the next phase if it is time, and give back the phase from now on.
 
-        ``unsent`` counts bytes to callers, ``connections`` callers' connections.  A call enters one phase at
-        most, so what is queued at the listener is read before connections are ended.  A call that comes while
-        the last bytes are sent is therefore answered, and a caller that reads late gets its complete answer.
+        ``unsent`` counts bytes to callers, ``connections`` callers' connections, ``unsettled`` calls that
+        have failed and that a server may yet release, to the next process if this one has ended.
+
+        A call enters one phase at most, so what is queued at the listener is read before connections are
+        ended.  A call that comes while the last bytes are sent is therefore answered, and a caller that reads
+        late gets its complete answer.
         """
         elapsed_ms = now_ms - self._started_ms
+        if unsettled:
+            self._unsettled_ms = now_ms
         may_flush = elapsed_ms < self._kill_after_ms - FAIL_BEFORE_KILL_MS + FLUSH_MS
+        is_waiting = (unsent and may_flush) or self._may_settle(now_ms)
         match self.phase:
             case Phase.LAME_DUCK if elapsed_ms >= LAME_DUCK_MS:
                 self._enter(Phase.DRAINING, now_ms)
-            case Phase.DRAINING if not open_calls and not (unsent and may_flush):
+            case Phase.DRAINING if not open_calls and not is_waiting:
                 self._enter(Phase.DISCONNECTING, now_ms)
             case Phase.DISCONNECTING if not connections or now_ms - self._entered_ms >= DISCONNECT_MS:
                 self._enter(Phase.STOPPED, now_ms)
         return self.phase
 
+    def _may_settle(self, now_ms: float) -> bool:
+        in_time = now_ms - self._started_ms < self._kill_after_ms - SETTLE_BEFORE_KILL_MS
+        return in_time and now_ms - self._unsettled_ms < SETTLED_MS
+
     def _enter(self, phase: Phase, now_ms: float) -> None:
         self.phase, self._entered_ms = phase, now_ms
--- a/tests/test_releases_across_processes.py
+++ b/tests/test_releases_across_processes.py
@@ -7,6 +7,7 @@
 import select
 import signal
 import socket
+import subprocess
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -39,15 +40,15 @@
 
 @contextlib.contextmanager
 def attempted_call(
-    folder: Path, server: StandInServer, settings: dict | None = None
+    folder: Path, server: StandInServer, settings: dict | None = None, wait_ms: int = 9000
 ) -> Iterator[AttemptedCall]:
-    """A process, and a call that it has sent to the server."""
+    """A process, and a call that it has sent to the server; its caller waits for ``wait_ms``."""
     deployment = Deployment(folder, [server], settings)
     try:
         deployment.start()
         connection = server.accept()
         with deployment.caller() as caller:
-            caller.sendall(set_up())
+            caller.sendall(set_up(wait_ms=wait_ms))
             invite = server.read_until(connection, "INVITE")
             yield AttemptedCall(deployment, caller, connection, invite)
     finally:
@@ -188,6 +189,70 @@
         out_of_reach.close()
 
 
+CALLER_WAIT_MS = 1200  # the call fails well before the time that a shutdown may take
+OUT_OF_REACH_S = 1.0  # after that
+
+
+def refuse_connections(server: StandInServer) -> tuple[str, int]:
+    """No connection comes up any more; gives the address."""
+    address = server.listener.getsockname()
+    server.listener.close()
+    return address
+
+
+def serve_until_ended(server: StandInServer, process: subprocess.Popen) -> None:
+    """Take connections and messages for as long as the process runs."""
+    while process.poll() is None:
+        readable, _, _ = select.select([server.listener, *server.connections], [], [], 0.01)
+        for each in readable:
+            if each is server.listener:
+                server.accept()
+            else:
+                server.read_available(each)
+    server.read_all_to_the_end()
+
+
+@pytest.mark.parametrize("ends_unreadably", [False, True], ids=["hangs", "is ended"])
+@STOPS_WHEN_CONFIRMED
+def test_a_call_that_failed_while_its_server_was_out_of_reach_fails_once_across_a_restart(
+    tmp_path, ends_unreadably, stops_when_confirmed
+):
+    """Its server comes back while the old process may still run, and has ended the call by itself."""
+    server = StandInServer(stops_when_confirmed)
+    with attempted_call(tmp_path, server, wait_ms=CALLER_WAIT_MS) as (deployment, caller, out_of_reach, _):
+        address = refuse_connections(server)
+        if ends_unreadably:
+            out_of_reach.sendall(b"noise\r\n\r\n")
+        old = deployment.processes[0]
+        old.send_signal(signal.SIGTERM)
+        assert read_message(caller, isup.Kind.RELEASE).call_id == ID
+        time.sleep(OUT_OF_REACH_S)
+        come_back_and_release(server, address, out_of_reach)
+        serve_until_ended(server, old)
+        assert old.returncode == 0
+        assert_not_released_by_the_next_process(deployment, server)
+
+
+def come_back_and_release(server: StandInServer, address: tuple[str, int], lost: socket.socket) -> None:
+    """The server is in reach again; it had established the call, its answer was lost, and it ends it."""
+    server.listener = socket.create_server(address)
+    server.established[ID] = lost
+    server.release(ID)
+
+
+def test_a_call_that_failed_while_its_server_was_out_of_reach_past_the_end_of_the_process_fails_once(
+    tmp_path,
+):
+    """Nobody is there who knows the call, and the next process cannot tell it from an established one."""
+    server = StandInServer()
+    with attempted_call(tmp_path, server, wait_ms=CALLER_WAIT_MS) as (deployment, caller, out_of_reach, _):
+        address = refuse_connections(server)
+        failed_by_the_end_of_the_process(deployment, caller)
+        assert deployment.processes[0].wait(WAIT_S) == 0
+        come_back_and_release(server, address, out_of_reach)
+        assert_not_released_by_the_next_process(deployment, server)
+
+
 REFUSED = f"SIP/2.0 487 X\r\nCall-ID: {ID}\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n".encode()
 REPORTED = sip.request("NOTIFY", "exchange", "0" * 16, 1)
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -88,6 +88,20 @@
     assert shutdown.advance(BEGUN_MS + 760, open_calls=0, unsent=0, connections=1) is Phase.DISCONNECTING
 
 
+def test_calls_that_a_server_may_yet_release_are_waited_for_within_the_time_of_a_shutdown():
+    starts = phase_starts(begun_shutdown(), unsettled=1, connections=1)
+    assert starts[Phase.DISCONNECTING] == pytest.approx(3200, abs=20)
+    assert starts[Phase.STOPPED] < 3700
+
+
+def test_what_a_server_sends_as_a_call_is_settled_is_read():
+    shutdown = begun_shutdown()
+    shutdown.advance(BEGUN_MS + 700, **IDLE)
+    assert shutdown.advance(BEGUN_MS + 1000, **IDLE, unsettled=1) is Phase.DRAINING
+    assert shutdown.advance(BEGUN_MS + 1240, **IDLE) is Phase.DRAINING
+    assert shutdown.advance(BEGUN_MS + 1250, **IDLE) is Phase.DISCONNECTING
+
+
 def test_extensions_have_the_remaining_time_less_100_ms():
     shutdown = begun_shutdown()
     assert shutdown.remaining_ms(BEGUN_MS + 740) == 3700 - 100 - 740
--- a/tests/test_successor.py
+++ b/tests/test_successor.py
@@ -73,6 +73,21 @@
     run_coroutine(run())
 
 
+@pytest.mark.parametrize("confirms", [True, False])
+def test_a_call_is_settled_once_its_release_is_confirmed(confirms):
+    async def run() -> bool:
+        listener = Listener(confirms=confirms)
+        passed_on = successor(await listener.start())
+        passed_on.release([ID])
+        assert not passed_on.has_confirmed(ID)
+        await listener.until(lambda: len(listener.received) == 1)
+        await passed_on.close(WAIT_S if confirms else 0.1)
+        await listener.stop()
+        return passed_on.has_confirmed(ID)
+
+    assert run_coroutine(run()) is confirms
+
+
 @pytest.mark.parametrize("listens", [True, False])
 def test_the_end_of_a_process_waits_a_bounded_time_for_its_successor(listens):
     async def run() -> None:
@@ -107,12 +122,51 @@
 
 async def hear(rig: ServerSide) -> None:
     """The server reports its circuits on the connection of the set-up."""
-    stream, report = rig.first_stream(), sip.request("NOTIFY", "exchange", "0" * 16, 1)
-    stream.get_buffer(0)[: len(report)] = report
-    stream.buffer_updated(len(report))
+    receive(rig, sip.request("NOTIFY", "exchange", "0" * 16, 1))
     await rig.step()
 
 
+RELEASED = sip.request("BYE", "exchange", ID, 2, {"Reason": "Q.850;cause=16"})
+CONFIRMED = sip.response(200, "OK", next(sip.Parser().feed(memoryview(sip.request("BYE", "call", ID, 1)))))
+
+
+@pytest.mark.parametrize(
+    ("received", "unsettled"),
+    [
+        pytest.param(b"", [ID], id="nothing"),
+        pytest.param(RELEASED, [], id="its release"),
+        pytest.param(CONFIRMED, [], id="the confirmation of ours"),
+    ],
+)
+def test_a_call_cancelled_on_a_connection_that_was_replaced_is_settled_on_the_current_one(
+    monkeypatch, received, unsettled
+):
+    async def run() -> list[str]:
+        async with offered_call(monkeypatch) as rig:
+            await rig.step()
+            await abandon(rig)
+            hung, peer = rig.first_stream(), rig.peers[rig.first_server]
+            rig.servers.renew_connections()
+            await rig.accept()
+            async with asyncio.timeout(WAIT_S):
+                while rig.first_stream() is hung or hung in hung.peer.streams:
+                    await rig.step()
+            assert ID in rig.first_stream().unconfirmed
+            receive(rig, received)
+            peer.close()
+            return rig.servers.unsettled_calls()
+
+    assert run_coroutine(run()) == unsettled
+
+
+def receive(rig: ServerSide, data: bytes) -> None:
+    """Have these bytes received on the current connection to the first server."""
+    if data:
+        stream = rig.first_stream()
+        stream.get_buffer(len(data))[: len(data)] = data
+        stream.buffer_updated(len(data))
+
+
 @pytest.mark.parametrize(
     ("steps", "unsettled"),
     [
--- a/tests/two_processes.py
+++ b/tests/two_processes.py
@@ -62,6 +62,17 @@
                 if message.method == method and not message.status:
                     return message
 
+    def read_available(self, connection: socket.socket) -> None:
+        """Take what has come on a connection, which is closed where that is its end."""
+        data = b""
+        with contextlib.suppress(ConnectionResetError):  # its peer has ended with something unread
+            data = connection.recv(READ_BYTES)
+        for message in self._parsers[connection].feed(memoryview(data)):
+            self._on_message(message)
+        if not data:
+            self.connections.remove(connection)
+            connection.close()
+
     def read_to_the_end(self, connection: socket.socket) -> None:
         """Take all messages up to the end of the connection, and close it."""
         with contextlib.suppress(ConnectionResetError):  # its peer has ended with something unread
