--- a/emulators/server.py
+++ b/emulators/server.py
@@ -5,7 +5,8 @@
 is dropped from the queue.
 
 Releases go out as the platform's protocol says: on the connection of the set-up, or else on any that is open,
-and on the next one opened as well.  Nothing is sent a third time, confirmed or not.
+and on the next one opened as well.  Nothing is sent a third time, confirmed or not.  These are connections of
+the proxy that has set the call up: each proxy may have an address of its own here, by which it is known.
 """
 
 from __future__ import annotations
@@ -24,6 +25,7 @@
 REPORT_INTERVAL_S = 0.5
 WARM_UP_STEP_S = 0.1
 MS_PER_S = 1000.0
+ANY_PROXY = ""  # those that share an address: they cannot be told apart
 
 
 @dataclass(slots=True)
@@ -78,24 +80,39 @@
     released_at_s: dict[str, float] = field(default_factory=dict)  # first, by call, in Unix time
     events: list[ConnectionEvent] = field(default_factory=list)
     _writers: list[asyncio.StreamWriter] = field(default_factory=list)  # open now, the newest last
+    _proxies: dict[asyncio.StreamWriter, str] = field(default_factory=dict)  # by connection
     _spoils_answer: UnreadableKind | None = None  # the next one
-    # Calls whose release goes out on the next connection as well, unless it is confirmed before.
-    _to_release_again: dict[str, None] = field(default_factory=dict)
+    # The proxies of calls whose release goes out on their next connection as well, unless it is confirmed.
+    _to_release_again: dict[str, str] = field(default_factory=dict)
+    _listeners: list[asyncio.Server] = field(default_factory=list)
     _tasks: Tasks = field(default_factory=Tasks)
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Listen on a free port, for all proxies that get no address of their own."""
+        await self._listen(ANY_PROXY)
         self._tasks.keep(self._process())
 
     @property
     def address(self) -> str:
         """Its ``host:port``."""
-        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        return _address(self._listeners[0])
+
+    async def address_for(self, proxy: str) -> str:
+        """Listen on one more free port, for this proxy alone; gives ``host:port``."""
+        return _address(await self._listen(proxy))
+
+    async def _listen(self, proxy: str) -> asyncio.Server:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self._proxies[writer] = proxy
+            await self._serve(reader, writer)
+
+        self._listeners.append(await asyncio.start_server(serve, "127.0.0.1", 0))
+        return self._listeners[-1]
 
     async def stop(self) -> None:
         """Stop listening and end all calls."""
-        self._server.close()
+        for listener in self._listeners:
+            listener.close()
         await self._tasks.end()
 
     async def start_cold(self, fraction: float, warm_up_s: float) -> None:
@@ -147,9 +164,10 @@
     async def _hold(self, writer: asyncio.StreamWriter, call_id: str) -> None:
         await asyncio.sleep(self.hold_ms / MS_PER_S)
         self._calls.pop(call_id, None)
-        if writer not in self._writers and self._writers:
-            writer = self._writers[-1]
-        self._to_release_again[call_id] = None
+        proxy = self._proxies[writer]
+        if writer not in self._writers:
+            writer = next((each for each in self._writers[::-1] if self._proxies[each] == proxy), writer)
+        self._to_release_again[call_id] = proxy
         self.released_at_s[call_id] = time.time()
         self._release(writer, call_id)
         self._enqueue(Job(writer, None, RELEASE_COST))
@@ -179,8 +197,10 @@
         self.accepted.append(asyncio.get_running_loop().time())
         self._writers.append(writer)
         self._tasks.keep(self._report_load(writer))
-        released, self._to_release_again = self._to_release_again, {}
+        own = self._proxies[writer]
+        released = [call_id for call_id, proxy in self._to_release_again.items() if proxy == own]
         for call_id in released:  # what was sent on another connection may never have been read
+            del self._to_release_again[call_id]
             self._release(writer, call_id)
         with contextlib.suppress(asyncio.CancelledError):  # by ``stop``: no error to print
             await self._read(reader, writer)
@@ -225,3 +245,7 @@
                 if (call := self._calls.pop(message.call_id, None)) is not None:
                     call.cancel()
                 self._send(writer, sip.response(200, "OK", message))
+
+
+def _address(listener: asyncio.Server) -> str:
+    return f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
--- a/experiments/soak/deployment.py
+++ b/experiments/soak/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 import signal
 import tempfile
@@ -49,36 +50,38 @@
 
 
 class Server:
-    """One call server with its link, and its entry in the list."""
+    """One call server with a link for each proxy, by which it knows them, and its entries in their lists."""
 
     def __init__(self, name: str, cell: int, trace: CallTrace) -> None:
         self.name, self.cell = name, cell
         self.emulator = CallServer(name, SERVER_CAPACITY_PER_S, HOLD_MS)
         self.observer = ServerObserver(name, trace)
-        self.link: ObservedLink | None = None
+        self.links: list[ObservedLink] = []  # by proxy
         self.lifecycle = "ready"
         self._trace = trace
         self._noted = False  # what its emulator saw
         self._muted: list[tuple[float, float]] = []  # from and until when its link held back what it wrote
 
     async def start(self) -> None:
-        """Listen, and have its link listen."""
+        """Listen, and have its links listen."""
         await self.emulator.start()
-        self.link = ObservedLink(self.emulator.address, self.observer)
-        await self.link.start()
+        for proxy in range(PROXIES):
+            link = ObservedLink(await self.emulator.address_for(f"p{proxy}"), self.observer)
+            await link.start()
+            self.links.append(link)
 
     async def stop(self) -> None:
         """End its process: connections are reset, and its calls are cut."""
         self.stop_observing()
         self.observer.on_server_gone()
         await self.emulator.stop()
-        if self.link is not None:
-            await self.link.stop()
+        for link in self.links:
+            await link.stop()
 
     def stop_observing(self) -> None:
         """At the end of the run or of the server: see ``ServerObserver.close``."""
-        if self.link is not None:
-            self.observer.close(self.link.observed)
+        for link in self.links:
+            self.observer.close(link.observed)
         if not self._noted:
             self._noted = True
             self._note_what_it_saw()
@@ -95,13 +98,22 @@
 
     async def mute(self, for_s: float) -> None:
         """Hold back what it writes, on all its connections, and let it pass then."""
-        assert self.link is not None, "start() first"
         from_s = time.time()
-        self.link.cut("back")
+        self.cut("back")
         await asyncio.sleep(for_s)
-        self.link.heal()
+        self.heal()
         self._muted.append((from_s, time.time() + LAST_WRITES_S))
 
+    def cut(self, *ways: str) -> None:
+        """Hold back one direction of all its links, or both: see ``Link``."""
+        for link in self.links:
+            link.cut(*ways)
+
+    def heal(self) -> None:
+        """Let both directions of all its links pass again."""
+        for link in self.links:
+            link.heal()
+
     def is_disturbed(self, at_s: float) -> bool:
         """Whether its link holds back or loses what is written at this time."""
         disturbed = [
@@ -109,12 +121,11 @@
         ]
         return any(from_s - LAST_WRITES_S <= at_s <= until_s for from_s, until_s in disturbed + self._muted)
 
-    def entry(self) -> dict[str, Any]:
-        """Its entry in the list of service discovery."""
-        assert self.link is not None, "start() first"
+    def entry(self, proxy: int) -> dict[str, Any]:
+        """Its entry in the list that this proxy gets."""
         return {
             "instanceId": self.name,
-            "hostPort": self.link.address,
+            "hostPort": self.links[proxy].address,
             "zone": "here",
             "machineType": "std",
             "cell": self.cell,
@@ -136,9 +147,9 @@
             drain_grace_s=settings["rules"]["stop_sending_within_ms"] / MS_PER_S,
         )
         self._servers = [Server(f"s{number}", number, self.trace) for number in range(SERVERS)]
-        self._discovery = Discovery()
-        self._discovery_links: list[Link] = []  # the second takes over on a reload
-        self._discovery_address = ""
+        self._discoveries = [Discovery() for _ in range(PROXIES)]  # by proxy
+        self._discovery_links: list[list[Link]] = []  # by proxy: the second takes over on a reload
+        self._discovery_in_use = 0  # which of them
         self._discovery_troubled_s = 0.0  # until then
         self._addresses = [f"{own_host()}:{free_port()}" for _ in range(PROXIES)]
         self._proxies: list[list[ProxyProcess]] = [[] for _ in range(PROXIES)]  # by address, the newest last
@@ -170,11 +181,12 @@
     async def _start(self) -> None:
         for server in self._servers:
             await server.start()
-        await self._discovery.start()
-        self._discovery_links = [Link(self._discovery.address) for _ in range(2)]
-        for link in self._discovery_links:
-            await link.start()
-        self._discovery_address = self._discovery_links[0].address
+        for discovery in self._discoveries:
+            await discovery.start()
+            links = [Link(discovery.address) for _ in range(2)]
+            for link in links:
+                await link.start()
+            self._discovery_links.append(links)
         await self._tell(self._servers, complete=True)
         starting = [await self._start_process(index) for index in range(PROXIES)]
         for process in starting:
@@ -195,9 +207,10 @@
         await self._tasks.end()
         for server in self._servers:
             await server.stop()
-        for link in self._discovery_links:
+        for link in itertools.chain.from_iterable(self._discovery_links):
             await link.stop()
-        await self._discovery.stop()
+        for discovery in self._discoveries:
+            await discovery.stop()
         for process in [each for processes in self._proxies for each in processes]:
             process.read_end()
 
@@ -253,10 +266,10 @@
     def _configuration(self, index: int) -> dict[str, Any]:
         return example_configuration() | {
             "seed": f"{1000 * self._scenario.seed + index:016x}",
-            "board": self._discovery_address,
+            "board": self._discovery_links[index][self._discovery_in_use].address,
             "settings": self._settings,
             "limits": LIMITS,
-            "known": self._discovery.known(),
+            "known": self._discoveries[index].known(),
         }
 
     async def _restart(self, index: int, *signals: signal.Signals) -> ProxyProcess:
@@ -329,33 +342,35 @@
 
     async def _reload(self) -> None:
         """Service discovery moves, and the old address goes silent."""
-        self._discovery_address = self._discovery_links[1].address
+        self._discovery_in_use = 1
         for index, processes in enumerate(self._proxies):
             processes[-1].write_configuration(self._configuration(index))
             processes[-1].signal(signal.SIGHUP)
         await asyncio.sleep(0.3)
-        self._discovery_links[0].cut()
+        for links in self._discovery_links:
+            links[0].cut()
         self._discovery_troubled_s = time.time() + DISCOVERY_LATE_S
 
     async def _trouble_discovery(self, switch: str, for_s: float) -> None:
         self._discovery_troubled_s = time.time() + for_s + DISCOVERY_LATE_S
-        setattr(self._discovery, switch, True)
-        for link in self._discovery_links:
+        for discovery in self._discoveries:
+            setattr(discovery, switch, True)
+        for link in itertools.chain.from_iterable(self._discovery_links):
             link.reset()
         await asyncio.sleep(for_s)
-        setattr(self._discovery, switch, False)
+        for discovery in self._discoveries:
+            setattr(discovery, switch, False)
 
     async def _hang(self, server: Server, for_s: float) -> None:
-        assert server.link is not None, "it was started"
         self._note_disturbed(server, for_s + RECOVERY_S)
-        server.link.cut()
+        server.cut()
         await asyncio.sleep(for_s)
-        server.link.heal()
+        server.heal()
 
     async def _reset(self, server: Server) -> None:
-        assert server.link is not None, "it was started"
         self._note_disturbed(server, RECOVERY_S)
-        server.link.reset()
+        for link in server.links:
+            link.reset()
 
     async def _spoil(self, server: Server, for_s: float) -> None:
         """Spoil its connections, in some runs after proxies have replaced those and keep them open."""
@@ -413,8 +428,9 @@
         self.trace.told.append(Told(server.name, now_s + late_s, now_s + for_s))
 
     async def _tell(self, servers: list[Server], *, complete: bool = False) -> None:
-        entries = [server.entry() for server in servers]
-        await self._discovery.tell({"generation": 1, "reset": complete, "instances": entries})
+        for proxy, discovery in enumerate(self._discoveries):
+            entries = [server.entry(proxy) for server in servers]
+            await discovery.tell({"generation": 1, "reset": complete, "instances": entries})
 
     async def _measure_lateness(self) -> None:
         """How late this process's own loop wakes: what it notes is no more exact than that."""
--- a/tests/test_emulators.py
+++ b/tests/test_emulators.py
@@ -96,10 +96,10 @@
         self.writer.write(sip.request("INVITE", "number", CALL_ID, 1, {}, b"offer"))
 
 
-async def connect(server: CallServer) -> Client:
-    """A connection that the server has accepted."""
+async def connect(server: CallServer, address: str | None = None) -> Client:
+    """A connection that the server has accepted, at this address or at the one for any proxy."""
     accepted = len(server.accepted)
-    client = Client(*await asyncio.open_connection(*parse_address(server.address)))
+    client = Client(*await asyncio.open_connection(*parse_address(address or server.address)))
     await until(lambda: len(server.accepted) > accepted)
     return client
 
@@ -161,6 +161,25 @@
     asyncio.run(run())
 
 
+def test_a_server_that_knows_its_proxies_apart_releases_a_call_to_the_one_that_has_set_it_up_alone():
+    """Neither on an open connection of another, nor on the next one that another opens."""
+
+    async def run():
+        async with call_server() as server:
+            own_address, others_address = await server.address_for("p0"), await server.address_for("p1")
+            others, own = await connect(server, others_address), await connect(server, own_address)
+            own.invite()
+            assert (await own.message("INVITE")).status == 200
+            own.writer.close()
+            await until(lambda: server.connections == 1 and CALL_ID in server.released_at_s)
+            others_next = await connect(server, others_address)
+            assert not await others.has_release()
+            assert not await others_next.has_release()
+            assert (await (await connect(server, own_address)).message("BYE")).call_id == CALL_ID
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("ended", ["closed", "reset"])
 def test_a_server_that_notices_an_end_late_writes_the_release_to_the_ended_connection(ended):
     """A connection that was opened before that release never carries it."""
--- a/tests/test_soak_observation.py
+++ b/tests/test_soak_observation.py
@@ -121,7 +121,7 @@
         server = Server("s", 0, trace)
         await server.start()
         async with asyncio.timeout(WITHIN_S):
-            reader, writer = await asyncio.open_connection(*parse_address(server.link.address))
+            reader, writer = await asyncio.open_connection(*parse_address(server.links[0].address))
             while not server.emulator.connections:
                 await asyncio.sleep(0.002)
             from_s = time.time()
