What waits for a caller is written on several connections as a process ends them

Callers kept calls that this proxy had ended, their server being gone: the release waits 0.5 s for a connection that carries calls, 0.25 s for a confirmation before it is sent on another, and was lost as the process ended its connections meanwhile. What a server has released it sends to the next process; of this nobody else knows.

Evidence: known by reading only. The two new tests of the connections alone failed before this change.

Change: as connections are ended, a release that waits is written to the three best of them, an unconfirmed one to as many others as it would have been sent to; any connection will do, by the protocol.

--- a/canvasplank/network/caller_pool.py
+++ b/canvasplank/network/caller_pool.py
@@ -47,10 +47,8 @@
         """Take out one that has ended."""
         self.streams.pop(stream, None)
 
-    def best_for_release(
-        self, *, carrying_calls: bool, other_than: CallerStream | None = None
-    ) -> CallerStream | None:
-        """A connection that can be written to: by what became of the last release there, then the newest.
+    def usable_for_release(self, *, carrying_calls: bool) -> list[CallerStream]:
+        """Connections that can be written to: by what became of the last release, then the newest first.
 
         The newest is the least likely to be closed now, but its peer may not read, or know nothing of calls
         that were set up on other connections.
@@ -61,12 +59,16 @@
         usable = [
             stream
             for stream in reversed(self.streams)
-            if stream.is_open
-            and not stream.half_closed
-            and stream is not other_than
-            and (stream.carries_calls or not carrying_calls)
+            if stream.is_open and not stream.half_closed and (stream.carries_calls or not carrying_calls)
         ]
-        return max(usable, key=lambda stream: stream.last_release, default=None)
+        return sorted(usable, key=lambda stream: stream.last_release, reverse=True)
+
+    def best_for_release(
+        self, *, carrying_calls: bool, other_than: CallerStream | None = None
+    ) -> CallerStream | None:
+        """The first that is usable: see ``usable_for_release``."""
+        usable = self.usable_for_release(carrying_calls=carrying_calls)
+        return next((stream for stream in usable if stream is not other_than), None)
 
     def quiesce(self) -> None:
         """Send callers away: each connection is closed once it carries nothing, from now on."""
--- a/canvasplank/network/caller_releases.py
+++ b/canvasplank/network/caller_releases.py
@@ -102,6 +102,24 @@
         for call_id, cause in stream.unconfirmed.take_sent_after(since_ms):
             self.send(None, CallerRelease(call_id, cause))
 
+    def flush(self) -> None:
+        """Write what no caller is known to have on several connections, which are about to be ended.
+
+        No time is left to wait for a confirmation, or for a connection that carries calls.
+        """
+        usable = self._pool.usable_for_release(carrying_calls=True)
+        usable = usable or self._pool.usable_for_release(carrying_calls=False)
+        pending, self._pending = self._pending, {}
+        for release in pending.values():
+            for stream in usable[:MAX_FOREIGN_SENDS]:
+                self._send_on(stream, release, foreign_sends=MAX_FOREIGN_SENDS)
+        for stream in usable:
+            for call_id, sent in list(stream.unconfirmed.items()):
+                if self._may_retry(sent):
+                    others = [other for other in usable if other is not stream]
+                    for other in others[: MAX_FOREIGN_SENDS - sent.foreign_sends]:
+                        self._write(other, call_id, sent.cause, MAX_FOREIGN_SENDS)
+
     def _check_unconfirmed(self) -> None:
         """Send again what was not confirmed in time, since the peer may not know the call.
 
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -85,6 +85,7 @@
         Otherwise a set-up could be written to a connection which nobody reads any more while the process
         winds down, and which is then closed without an answer.
         """
+        self.releases.flush()
         self._pool.close_writing()
 
     @property
--- a/tests/test_releases_across_processes.py
+++ b/tests/test_releases_across_processes.py
@@ -15,11 +15,12 @@
 
 import pytest
 from exchange_replay import SETTINGS
-from race_conditions import ID, WAIT_S, read_to_the_end, run_coroutine, set_up
+from race_conditions import ID, TEST, WAIT_S, read_to_the_end, run_coroutine, set_up
 from server_side import ServerSide, offered_call
 from two_processes import Deployment, StandInServer, read_message
 
 from canvasplank.codecs import isup, sip
+from canvasplank.network.caller_releases import PENDING_RELEASE_DELAY_MS
 from canvasplank.network.release_retransmission import CONFIRMATION_WINDOW_MS
 from canvasplank.network.server_stream import ServerStream
 from canvasplank.program import PREDECESSOR_END_MS
@@ -108,6 +109,45 @@
         assert_released(deployment)
 
 
+LATE_CONNECTION_S = 0.3  # new connections keep coming for 0.4 s after SIGTERM
+
+
+@contextlib.contextmanager
+def released_by_the_process_itself(folder: Path) -> Iterator[Deployment]:
+    """A process that has released a call, whose server has gone, as no caller was connected."""
+    server = StandInServer()
+    with established_call(folder, server) as (deployment, caller):
+        server.close()
+        caller.close()
+        process = deployment.processes[0]
+        while "ends_for_servers=1" not in deployment.log():
+            process.send_signal(signal.SIGUSR1)  # it prints its counters
+            time.sleep(0.1)
+        time.sleep(PENDING_RELEASE_DELAY_MS / 1000)  # it has looked for any connection in vain
+        process.send_signal(signal.SIGTERM)
+        yield deployment
+
+
+def test_a_release_of_the_process_itself_reaches_a_caller_that_connects_before_its_end(tmp_path):
+    """It waited for a connection that carries calls, and was lost: no server sends it to the next process."""
+    with released_by_the_process_itself(tmp_path) as deployment:
+        time.sleep(LATE_CONNECTION_S)
+        with deployment.caller() as caller:
+            caller.sendall(TEST)
+            assert read_message(caller, isup.Kind.RELEASE).call_id == ID
+        assert deployment.processes[0].wait(WAIT_S) == 0
+
+
+def test_a_release_of_the_process_itself_reaches_a_caller_that_connects_after_its_end(tmp_path):
+    """Nobody else knows of the call."""
+    with released_by_the_process_itself(tmp_path) as deployment:
+        assert deployment.processes[0].wait(WAIT_S) == 0
+        deployment.start()
+        with deployment.caller() as caller:
+            caller.sendall(TEST)
+            assert read_message(caller, isup.Kind.RELEASE).call_id == ID
+
+
 # The process fails what is open 1.9 s after SIGTERM, before it takes a connection for silent.
 BRIEF_SETTINGS = SETTINGS | {
     "profiles": [profile | {"aim_ms": 1500.0, "deadline_ms": 1500.0} for profile in SETTINGS["profiles"]],
--- a/tests/test_releases_to_callers.py
+++ b/tests/test_releases_to_callers.py
@@ -208,6 +208,43 @@
     run_coroutine(run())
 
 
+def test_a_release_that_waits_for_a_connection_is_written_as_the_process_ends_those_it_has():
+    """It waited for one that carries calls, and was lost with a process that ended meanwhile."""
+
+    async def run() -> None:
+        with listening_caller_side() as caller_side:
+            caller_side.callers.releases.send(None, CallerRelease(ID, 16))
+            caller = await caller_side.caller()  # which has only tested
+            caller_side.callers.disconnect()
+            assert await received(caller, len(RELEASED)) == RELEASED
+            caller.close()
+
+    run_coroutine(run())
+
+
+@pytest.mark.parametrize("is_confirmed", [False, True])
+def test_a_release_that_nobody_has_confirmed_is_written_on_others_as_the_process_ends(is_confirmed):
+    """It was lost where the connection that it was written on was not read."""
+
+    async def run() -> None:
+        with listening_caller_side() as caller_side:
+            callers = [await calling_caller(caller_side) for _ in range(MAX_FOREIGN_SENDS + 1)]
+            caller_side.callers.releases.send(None, CallerRelease(ID, 16))
+            assert await received(callers[-1], len(RELEASED)) == RELEASED
+            if is_confirmed:
+                callers[-1].sendall(isup.release_confirmed(ID))
+                async with asyncio.timeout(WAIT_S):
+                    while any(stream.unconfirmed for stream in caller_side.callers.streams):
+                        await asyncio.sleep(0.005)
+            caller_side.callers.disconnect()
+            read = [await received(caller, len(RELEASED)) for caller in callers[:-1]]
+            assert read == [b"", *[b"" if is_confirmed else RELEASED] * (MAX_FOREIGN_SENDS - 1)]
+            for caller in callers:
+                caller.close()
+
+    run_coroutine(run())
+
+
 def test_a_confirmed_release_is_not_sent_again():
     async def run() -> None:
         with listening_caller_side() as caller_side:
--- a/tests/two_processes.py
+++ b/tests/two_processes.py
@@ -150,7 +150,7 @@
 
     def start(self) -> subprocess.Popen:
         """Start one more process, and wait until it listens."""
-        log = self._folder / f"log-{len(self.processes)}"
+        log = self._log_file(len(self.processes))
         environment = {name: value for name, value in os.environ.items() if not name.startswith("EDGE_")}
         with log.open("wb") as output:
             process = subprocess.Popen(
@@ -167,6 +167,13 @@
             time.sleep(0.01)
         return process
 
+    def log(self, number: int = 0) -> str:
+        """What the process that was started first, or this one, has logged."""
+        return self._log_file(number).read_text()
+
+    def _log_file(self, number: int) -> Path:
+        return self._folder / f"log-{number}"
+
     def caller(self) -> socket.socket:
         """A new connection from a caller."""
         return socket.create_connection(("127.0.0.1", self.port), timeout=WAIT_S)
