Releases of unknown calls go to callers before a crowd that reads nothing

After an upgrade callers kept calls that their server had ended, while a crowd held connections silently.

Cause: a release for a call of an earlier process went to the newest connection that had carried a message other than a test, then to two more, and to nobody after that. Each client of the crowd has sent one such message, so all three were of the crowd. Evidence: a trace of the sends, 12 of 12 for four lost calls to connections on which no call was set up, with one or two there on which calls were.

Change: connections on which a call was set up come first after those where a release was confirmed, untried ones before tried ones. Sends to others do not count against those to callers, and without a caller there the release waits for one, for the 8 s of before. The sends are recorded in one place, by call.

Both new tests failed before; those of three sends pass unchanged.

Ruled out: that no caller was connected, or that the release was not read.

--- a/canvasplank/network/caller_pool.py
+++ b/canvasplank/network/caller_pool.py
@@ -7,6 +7,7 @@
 
 from canvasplank.counters import Counters
 from canvasplank.network.caller_stream import MESSAGE_TIMEOUT_MS, CallerStream
+from canvasplank.network.release_retransmission import ReleaseHandling
 from canvasplank.runtime.scheduler import Scheduler
 
 FIRST_REQUEST_GRACE_MS = 500.0  # a connection this young that has sent no message may be about to
@@ -48,10 +49,11 @@
         self.streams.pop(stream, None)
 
     def usable_for_release(self, *, carrying_calls: bool) -> list[CallerStream]:
-        """Connections that can be written to: by what became of the last release, then the newest first.
+        """Connections that can be written to, those first whose peers most likely pass a release on.
 
-        The newest is the least likely to be closed now, but its peer may not read, or know nothing of calls
-        that were set up on other connections.
+        That is where the last release was confirmed; then where calls were set up, since a crowd that does
+        not read may well have sent something else; then by what became of the last release; then the newest,
+        which is the least likely to be closed now.
 
         ``carrying_calls``: only among those that have carried calls.  Whoever only tests this proxy knows
         nothing of calls, and must not be sent a release.
@@ -61,14 +63,11 @@
             for stream in reversed(self.streams)
             if stream.is_open and not stream.half_closed and (stream.carries_calls or not carrying_calls)
         ]
-        return sorted(usable, key=lambda stream: stream.last_release, reverse=True)
+        return sorted(usable, key=_release_preference, reverse=True)
 
-    def best_for_release(
-        self, *, carrying_calls: bool, other_than: CallerStream | None = None
-    ) -> CallerStream | None:
+    def best_for_release(self, *, carrying_calls: bool) -> CallerStream | None:
         """The first that is usable: see ``usable_for_release``."""
-        usable = self.usable_for_release(carrying_calls=carrying_calls)
-        return next((stream for stream in usable if stream is not other_than), None)
+        return next(iter(self.usable_for_release(carrying_calls=carrying_calls)), None)
 
     def quiesce(self) -> None:
         """Send callers away: each connection is closed once it carries nothing, from now on."""
@@ -137,3 +136,8 @@
 
     def _is_idle(self, stream: CallerStream) -> bool:
         return stream.is_unused if self.quiesced else not stream.open_set_ups
+
+
+def _release_preference(stream: CallerStream) -> tuple[bool, bool, int]:
+    confirms = stream.last_release is ReleaseHandling.CONFIRMED
+    return confirms, stream.has_set_up_calls, stream.last_release
--- a/canvasplank/network/caller_releases.py
+++ b/canvasplank/network/caller_releases.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from canvasplank.counters import Counters
 from canvasplank.exchange.call_records import CallerRelease
@@ -12,7 +12,6 @@
 from canvasplank.network.release_retransmission import (
     CONFIRMATION_WINDOW_MS,
     ReleaseHandling,
-    SentRelease,
 )
 from canvasplank.runtime.scheduler import Scheduler, Timer
 
@@ -23,7 +22,7 @@
 # One that went on another connection than its call's, and that nobody confirms, is sent again on a third.
 RETRY_DELAY_MS = 250.0
 CHECK_INTERVAL_MS = 50.0
-MAX_FOREIGN_SENDS = 3
+MAX_FOREIGN_SENDS = 3  # on connections on which calls were set up, and as many on others
 MAX_RETRY_AGE_MS = 8000.0  # for so long an unconfirmed release waits for another connection
 
 
@@ -34,12 +33,38 @@
     on_delivered: Callable[[], None] | None = None
     written_ms: float | None = None  # when it was last written to a connection; None: it waits for one
     is_foreign: bool = False  # whether that was another connection than its call's
+    foreign_sends: list[CallerStream] = field(default_factory=list)  # the other connections, in this order
 
     def is_due(self, now_ms: float) -> bool:
         """Whether it counts as delivered by now, since the connection has not ended and nobody confirms."""
         window_ms = MAX_RETRY_AGE_MS if self.is_foreign else CONFIRMATION_WINDOW_MS
         return self.written_ms is not None and now_ms - self.written_ms >= window_ms
 
+    def may_retry(self, now_ms: float) -> bool:
+        """Whether it may be sent again: on connections of callers it has not been sent often enough."""
+        is_recent = self.written_ms is not None and now_ms - self.written_ms < MAX_RETRY_AGE_MS
+        return is_recent and self.is_foreign and self._remaining_sends(to_callers=True) > 0
+
+    def next_connections(self, usable: list[CallerStream], current: CallerStream) -> list[CallerStream]:
+        """Where it may be sent again, the best first, and those first that it was not sent on.
+
+        Sends on connections where no call was set up take none from those of callers, which may come later.
+        """
+        others = [stream for stream in usable if stream is not current]
+        untried = [stream for stream in others if stream not in self.foreign_sends]
+        tried = [stream for stream in others if stream in self.foreign_sends]
+        remaining = {kind: self._remaining_sends(to_callers=kind) for kind in (True, False)}
+        chosen: list[CallerStream] = []
+        for stream in untried + tried:
+            if remaining[stream.has_set_up_calls]:
+                remaining[stream.has_set_up_calls] -= 1
+                chosen.append(stream)
+        return chosen
+
+    def _remaining_sends(self, *, to_callers: bool) -> int:
+        sends = [stream for stream in self.foreign_sends if stream.has_set_up_calls is to_callers]
+        return max(0, MAX_FOREIGN_SENDS - len(sends))
+
 
 class CallerReleases:
     """Sends releases to callers, and again where the first may not have been read."""
@@ -64,7 +89,7 @@
         if stream is not None and stream.is_open and not stream.half_closed:
             self._send_on(stream, release)
         elif (other := self._pool.best_for_release(carrying_calls=True)) is not None:
-            self._send_on(other, release, foreign_sends=1)
+            self._send_on(other, release, is_foreign=True)
         elif len(self._pending) < MAX_PENDING_RELEASES:
             self._pending[release.call_id] = release
             self._send_pending_later()
@@ -94,7 +119,7 @@
         """Write all that have waited for a connection."""
         pending, self._pending = self._pending, {}
         for release in pending.values():
-            self._send_on(stream, release, foreign_sends=1)
+            self._send_on(stream, release, is_foreign=True)
 
     def resend_unconfirmed(self, stream: CallerStream) -> None:
         """Send again what may have crossed the caller's end of this connection."""
@@ -110,15 +135,13 @@
         usable = self._pool.usable_for_release(carrying_calls=True)
         usable = usable or self._pool.usable_for_release(carrying_calls=False)
         pending, self._pending = self._pending, {}
+        unconfirmed = self._foreign_unconfirmed()
         for release in pending.values():
             for stream in usable[:MAX_FOREIGN_SENDS]:
-                self._send_on(stream, release, foreign_sends=MAX_FOREIGN_SENDS)
-        for stream in usable:
-            for call_id, sent in list(stream.unconfirmed.items()):
-                if self._may_retry(sent):
-                    others = [other for other in usable if other is not stream]
-                    for other in others[: MAX_FOREIGN_SENDS - sent.foreign_sends]:
-                        self._write(other, call_id, sent.cause, MAX_FOREIGN_SENDS)
+                self._send_on(stream, release, is_foreign=True)
+        for stream, call_id, cause in unconfirmed:
+            for other in self._undelivered[call_id].next_connections(usable, stream)[: MAX_FOREIGN_SENDS - 1]:
+                self._write(other, call_id, cause, is_foreign=True)
 
     def _check_unconfirmed(self) -> None:
         """Send again what was not confirmed in time, since the peer may not know the call.
@@ -127,47 +150,60 @@
         """
         self._check = None
         now_ms = self._scheduler.now_ms
-        for stream in list(self._pool.streams):
-            for call_id, release in list(stream.unconfirmed.items()):
-                if not self._may_retry(release):
-                    continue
-                self._check_later()
-                if now_ms - release.sent_ms >= RETRY_DELAY_MS:
-                    self._retry(stream, call_id, release)
+        unconfirmed = self._foreign_unconfirmed()
+        if unconfirmed:
+            self._check_later()
+        ignored = [
+            (stream, call_id, cause)
+            for stream, call_id, cause in unconfirmed
+            if now_ms - stream.unconfirmed[call_id].sent_ms >= RETRY_DELAY_MS
+        ]
+        for stream, _, _ in ignored:
+            stream.last_release = ReleaseHandling.IGNORED
+        usable = self._pool.usable_for_release(carrying_calls=True) if ignored else []
+        for stream, call_id, cause in ignored:
+            self._retry(stream, call_id, cause, usable)
         for call_id, undelivered in list(self._undelivered.items()):
             if undelivered.is_due(now_ms):
                 self.on_delivered(call_id)
             elif undelivered.written_ms is not None:
                 self._check_later()
 
-    def _may_retry(self, release: SentRelease) -> bool:
-        is_recent = self._scheduler.now_ms - release.sent_ms < MAX_RETRY_AGE_MS
-        return is_recent and 0 < release.foreign_sends < MAX_FOREIGN_SENDS
+    def _foreign_unconfirmed(self) -> list[tuple[CallerStream, str, int]]:
+        """Connection, call and cause of releases that may be sent again."""
+        now_ms = self._scheduler.now_ms
+        return [
+            (stream, call_id, sent.cause)
+            for stream in self._pool.streams
+            for call_id, sent in stream.unconfirmed.items()
+            if (undelivered := self._undelivered.get(call_id)) is not None and undelivered.may_retry(now_ms)
+        ]
+
+    def _retry(self, stream: CallerStream, call_id: str, cause: int, usable: list[CallerStream]) -> None:
+        others = self._undelivered[call_id].next_connections(usable, stream)
+        if not others:
+            return
+        del stream.unconfirmed[call_id]
+        self._counters.add("sent.releases_again")
+        self._write(others[0], call_id, cause, is_foreign=True)
 
     def _check_later(self) -> None:
         if self._check is None:
             self._check = self._scheduler.call_later(CHECK_INTERVAL_MS, self._check_unconfirmed)
 
-    def _retry(self, stream: CallerStream, call_id: str, release: SentRelease) -> None:
-        stream.last_release = ReleaseHandling.IGNORED
-        other = self._pool.best_for_release(carrying_calls=True, other_than=stream)
-        if other is None:
-            return
-        del stream.unconfirmed[call_id]
-        self._counters.add("sent.releases_again")
-        self._write(other, call_id, release.cause, release.foreign_sends + 1)
-
-    def _send_on(self, stream: CallerStream, release: CallerRelease, foreign_sends: int = 0) -> None:
+    def _send_on(self, stream: CallerStream, release: CallerRelease, *, is_foreign: bool = False) -> None:
         self._counters.add("sent.releases_to_callers")
-        self._write(stream, release.call_id, release.cause, foreign_sends)
+        self._write(stream, release.call_id, release.cause, is_foreign=is_foreign)
 
-    def _write(self, stream: CallerStream, call_id: str, cause: int, foreign_sends: int) -> None:
-        stream.send_release(call_id, cause, foreign_sends)
+    def _write(self, stream: CallerStream, call_id: str, cause: int, *, is_foreign: bool) -> None:
+        stream.send_release(call_id, cause)
         self._check_later()
         undelivered = self._undelivered.get(call_id)
         if undelivered is not None:
             undelivered.written_ms = self._scheduler.now_ms
-            undelivered.is_foreign = foreign_sends > 0
+            undelivered.is_foreign = is_foreign
+            if is_foreign:
+                undelivered.foreign_sends.append(stream)
 
     def _send_pending_later(self) -> None:
         self._scheduler.call_later(PENDING_RELEASE_DELAY_MS, self._send_pending_on_any)
--- a/canvasplank/network/caller_stream.py
+++ b/canvasplank/network/caller_stream.py
@@ -62,6 +62,7 @@
         self.created_ms = self.scheduler.now_ms
         self.last_set_up_ms = -RECENT_SET_UP_MS  # when one last came
         self.carries_calls = False  # whether it has carried calls, and not only tests
+        self.has_set_up_calls = False  # whether a set-up that servers can use came here
         self.unconfirmed = UnconfirmedReleases()
         self.last_release = ReleaseHandling.UNKNOWN
         self.established: set[str] = set()  # calls answered here: their releases are sent here
@@ -111,9 +112,9 @@
         """A message other than a test was read here."""
         self.carries_calls = True
 
-    def send_release(self, call_id: str, cause: int, foreign_sends: int = 0) -> None:
+    def send_release(self, call_id: str, cause: int) -> None:
         """Write the release of an established call, by its Q.850 cause; see ``SentRelease``."""
-        self.unconfirmed.add(call_id, cause, self.scheduler.read_clock(), foreign_sends)
+        self.unconfirmed.add(call_id, cause, self.scheduler.read_clock())
         self.write(isup.release(call_id, cause))
         self.established.discard(call_id)
         self.close_if_quiesced()
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -184,6 +184,7 @@
             # No server can use it: forwarding it would only cost servers, and other callers' set-ups.
             self.exchange.reject_invalid(call)
             return
+        stream.has_set_up_calls = True
         stream.open_set_ups.add(call.id)
         if not self.exchange.offer(call):
             if new:
--- a/canvasplank/network/release_retransmission.py
+++ b/canvasplank/network/release_retransmission.py
@@ -34,15 +34,14 @@
 
     cause: int
     sent_ms: float
-    foreign_sends: int = 0  # so often it was sent on another connection than that of its set-up
 
 
 class UnconfirmedReleases(dict[str, SentRelease]):
     """The unconfirmed releases of one connection by call, the oldest first; a confirmation pops its entry."""
 
-    def add(self, call_id: str, cause: int, now_ms: float, foreign_sends: int = 0) -> None:
+    def add(self, call_id: str, cause: int, now_ms: float) -> None:
         """Record a release that is being written; the oldest gives way past ``MAX_UNCONFIRMED_RELEASES``."""
-        self[call_id] = SentRelease(cause, now_ms, foreign_sends)
+        self[call_id] = SentRelease(cause, now_ms)
         if len(self) > MAX_UNCONFIRMED_RELEASES:
             del self[next(iter(self))]
 
--- a/tests/test_releases_to_callers.py
+++ b/tests/test_releases_to_callers.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterator
 
 import pytest
-from race_conditions import ID, WAIT_S, CallerSide, run_coroutine
+from race_conditions import ID, WAIT_S, CallerSide, run_coroutine, set_up
 from server_side import ServerSide
 
 from canvasplank.codecs import isup, sip
@@ -208,6 +208,51 @@
     run_coroutine(run())
 
 
+async def placing_caller(caller_side: CallerSide) -> socket.socket:
+    """A connection on which a call was set up."""
+    peer = await caller_side.caller()
+    open_calls = caller_side.exchange.open_calls
+    peer.sendall(set_up(f"{open_calls + 1:016x}"))
+    async with asyncio.timeout(WAIT_S):
+        while caller_side.exchange.open_calls == open_calls:
+            await asyncio.sleep(0.005)
+    return peer
+
+
+def test_a_release_goes_to_a_caller_before_a_crowd_on_whose_connections_no_call_was_set_up():
+    """It went to the newest three, all of a crowd that does not read, and to the caller never."""
+
+    async def run() -> None:
+        with listening_caller_side() as caller_side:
+            caller = await placing_caller(caller_side)
+            crowd = [await calling_caller(caller_side) for _ in range(MAX_FOREIGN_SENDS + 1)]
+            caller_side.exchange.on_released_by_server(SERVER, ID, 16)
+            assert await received(caller, len(RELEASED)) == RELEASED
+            for peer in [caller, *crowd]:
+                peer.close()
+
+    run_coroutine(run())
+
+
+def test_a_release_that_a_crowd_has_ignored_goes_to_the_caller_that_comes_later():
+    """Three connections that did not read it used up its sends."""
+
+    async def run() -> None:
+        with listening_caller_side() as caller_side:
+            crowd = [await calling_caller(caller_side) for _ in range(MAX_FOREIGN_SENDS + 1)]
+            caller_side.exchange.on_released_by_server(SERVER, ID, 16)
+            for _ in range(2 * MAX_FOREIGN_SENDS):
+                await caller_side.let_pass(RETRY_DELAY_MS)
+            assert caller_side.exchange.counters["sent.releases_again"] == MAX_FOREIGN_SENDS - 1
+            caller = await placing_caller(caller_side)
+            await caller_side.let_pass(CHECK_INTERVAL_MS)
+            assert await received(caller, len(RELEASED)) == RELEASED
+            for peer in [caller, *crowd]:
+                peer.close()
+
+    run_coroutine(run())
+
+
 def test_a_release_that_waits_for_a_connection_is_written_as_the_process_ends_those_it_has():
     """It waited for one that carries calls, and was lost with a process that ended meanwhile."""
 
