A draining process waits only for calls that failed, at servers that may come back

The log line is bounded to ten ids, and an entry that gave way past 1,000 unconfirmed releases of a connection no longer ends their check.

--- a/canvasplank/network/caller_releases.py
+++ b/canvasplank/network/caller_releases.py
@@ -183,7 +183,7 @@
         others = self._undelivered[call_id].next_connections(usable, stream)
         if not others:
             return
-        del stream.unconfirmed[call_id]
+        stream.unconfirmed.pop(call_id, None)  # the oldest may have given way meanwhile
         self._counters.add("sent.releases_again")
         self._write(others[0], call_id, cause, is_foreign=True)
 
--- a/canvasplank/network/server_connections.py
+++ b/canvasplank/network/server_connections.py
@@ -161,7 +161,7 @@
         peer.streams.remove(stream)
         if peer.current is stream:
             peer.current = None
-        peer.release_unheard(stream)
+        peer.release_lost(stream)
         peer.resend_unconfirmed(stream)
         for call_id, attempt in stream.take_open_set_ups():
             self._on_set_up_reset(stream, call_id, attempt)
--- a/canvasplank/network/server_stream.py
+++ b/canvasplank/network/server_stream.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -128,15 +127,18 @@
         for stream in self.streams:
             stream.cancelled.pop(call_id, None)
 
-    def unsettled_calls(self) -> list[str]:
+    def unsettled_calls(self) -> dict[str, int]:
         """Calls that may be established there although they were cancelled or released by this process.
 
-        Nothing was read on the connection since the cancellation, or none has carried the release yet.
+        Nothing was read on the connection since, or none has carried the release yet; by call, its cause.
         """
-        unheard = (stream.cancelled.sent_after(stream.last_received_ms) for stream in self.streams)
-        return [*itertools.chain.from_iterable(unheard), *self.pending_releases]
+        unsettled = {call_id: pending.cause for call_id, pending in self.pending_releases.items()}
+        for stream in self.streams:
+            for call_id in stream.cancelled.sent_after(stream.last_received_ms):
+                unsettled[call_id] = stream.cancelled[call_id].cause
+        return unsettled
 
-    def release_unheard(self, stream: ServerStream) -> None:
+    def release_lost(self, stream: ServerStream) -> None:
         """Release what was cancelled on a connection that has ended, if nothing was read there since."""
         for call_id, cause in stream.cancelled.take_sent_after(stream.last_received_ms):
             if self.current is not None and self.current.is_open:
@@ -344,7 +346,7 @@
             self.call_when_sent(on_sent)
 
     def release_unsettled(self, call_id: str, cause: int, on_sent: Callable[[], None] | None = None) -> None:
-        """Write the release of a call that counts as unsettled until its server is heard here."""
+        """Write the release of a call that counts as unsettled until something is read here."""
         self.cancelled.add(call_id, cause, self.scheduler.read_clock())
         self.send_release(call_id, cause, on_sent)
 
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -83,6 +83,16 @@
         unsettled = (call_id for peer in self._peers.values() for call_id in peer.unsettled_calls())
         return [call_id for call_id in unsettled if self.exchange.is_finished(call_id)]
 
+    def unsettled_attempts(self) -> list[str]:
+        """Those of them that were not established for their callers, at servers that may come back."""
+        unsettled = [
+            call_id
+            for peer in self._peers.values()
+            for call_id, cause in peer.unsettled_calls().items()
+            if cause == ReleaseCause.NORMAL_UNSPECIFIED and self._connections.is_listed(peer)
+        ]
+        return [call_id for call_id in unsettled if self.exchange.is_finished(call_id)]
+
     def limit(self, sockets: int) -> None:
         """Take a new limit of the program's sockets."""
         self._connections.limit(sockets)
--- a/canvasplank/program.py
+++ b/canvasplank/program.py
@@ -47,6 +47,7 @@
 SUCCESSOR_TIMEOUT_S = 0.2  # for another process at this address to confirm what is passed on to it
 # For call servers to detect that the connections of the old version have ended.
 END_DETECTION_MS = 400.0
+MAX_LOGGED_CALLS = 10  # in one line
 # Changes of these hold from the next start on.
 APPLIED_AT_START = ("name", "listen", "admin", "settings")
 
@@ -260,7 +261,10 @@
                     self._callers.stop_listening()
                 case Phase.DISCONNECTING:
                     if unsettled:
-                        LOG.warning("failed, and may yet be released by a server: %s", " ".join(unsettled))
+                        ids = " ".join(unsettled[:MAX_LOGGED_CALLS])
+                        LOG.warning(
+                            "%d failed calls may yet be released by a server: %s", len(unsettled), ids
+                        )
                     self.servers.disconnect()
                     self._callers.disconnect()
                 case Phase.STOPPED:
@@ -274,11 +278,11 @@
         Nobody listens here any more but the successor.  Where releases of established calls could be passed
         on to nobody, their servers are not waited for, so that they go to the next process.
         """
-        unsettled = self.servers.unsettled_calls()
-        self._successor.release(unsettled)
+        self._successor.release(self.servers.unsettled_calls())
         if self.exchange.established_calls and not self._callers.streams:
             return []
-        return [call_id for call_id in unsettled if not self._successor.has_confirmed(call_id)]
+        attempts = self.servers.unsettled_attempts()
+        return [call_id for call_id in attempts if not self._successor.has_confirmed(call_id)]
 
 
 def serve() -> int:
--- a/tests/test_successor.py
+++ b/tests/test_successor.py
@@ -11,6 +11,8 @@
 from test_operations import free_port
 
 from canvasplank.codecs import isup, sip
+from canvasplank.codecs.q850 import ReleaseCause
+from canvasplank.interface import ServerState
 from canvasplank.network.predecessor import NO_CALL_ID, TEST_INTERVAL_MS, PredecessorStream
 from canvasplank.network.stream import BufferBudget
 from canvasplank.network.successor import Successor
@@ -186,6 +188,32 @@
     assert run_coroutine(run()) == unsettled
 
 
+@pytest.mark.parametrize(
+    ("cause", "is_gone", "waited_for"),
+    [
+        pytest.param(ReleaseCause.NORMAL_UNSPECIFIED, False, True, id="cancelled"),
+        pytest.param(ReleaseCause.NORMAL_CLEARING, False, False, id="ended by its caller"),
+        pytest.param(ReleaseCause.NORMAL_UNSPECIFIED, True, False, id="at a server that is gone"),
+    ],
+)
+def test_the_end_of_a_process_waits_for_failed_calls_at_servers_that_may_come_back(
+    monkeypatch, cause, is_gone, waited_for
+):
+    async def run() -> tuple[list[str], list[str]]:
+        async with offered_call(monkeypatch) as rig:
+            peer = rig.first_stream().peer
+            await abandon(rig)
+            peer.current = None
+            peer.send_release(OTHER_ID, cause)
+            if is_gone:
+                peer.state = ServerState.GONE
+            return rig.servers.unsettled_calls(), rig.servers.unsettled_attempts()
+
+    unsettled, attempts = run_coroutine(run())
+    assert OTHER_ID in unsettled
+    assert (OTHER_ID in attempts) is waited_for
+
+
 def test_a_call_that_is_established_elsewhere_is_settled(monkeypatch):
     """Its release at the successor would end the call that its caller counts on."""
 
