--- a/tests/test_releases_across_processes.py
+++ b/tests/test_releases_across_processes.py
@@ -120,7 +120,9 @@
         server.close()
         caller.close()
         process = deployment.processes[0]
+        deadline_s = time.monotonic() + WAIT_S
         while "ends_for_servers=1" not in deployment.log():
+            assert time.monotonic() < deadline_s, "it has not released the call"
             process.send_signal(signal.SIGUSR1)  # it prints its counters
             time.sleep(0.1)
         time.sleep(PENDING_RELEASE_DELAY_MS / 1000)  # it has looked for any connection in vain
@@ -242,7 +244,9 @@
 
 def serve_until_ended(server: StandInServer, process: subprocess.Popen) -> None:
     """Take connections and messages for as long as the process runs."""
+    deadline_s = time.monotonic() + WAIT_S
     while process.poll() is None:
+        assert time.monotonic() < deadline_s, "it does not end"
         readable, _, _ = select.select([server.listener, *server.connections], [], [], 0.01)
         for each in readable:
             if each is server.listener:
