Budgets test: a proxy is cut off once shares are even, so that its lease must end first

The test takes its lease for ended as soon as the seven others have 8.4/s each, but cuts it off at 4.0/s already: below 5.2/s they can have that while the lease still runs, (64 - 5.2) / 7 = 8.4.

It is cut off at even shares now, and its own trace must say that the lease has ended; the bound of 3.5 units in 3 s is as it was, and the message prints the times of the units.

--- a/tests/test_budgets_processes.py
+++ b/tests/test_budgets_processes.py
@@ -24,6 +24,8 @@
 OFFERED_PER_S = 160.0  # twice the total: every proxy would use all that it may
 WAIT_S = 20.0
 MIN_UNITS_SPENT = 50  # with fewer, an invariant that holds proves little
+EVEN_PER_S = 7.5  # once all eight have it, seven have no seventh each before the lease of the eighth ends
+SEVENTH_PER_S = 8.4
 
 
 @asynccontextmanager
@@ -96,25 +98,27 @@
 
 async def freeze_past_the_lease(shared):
     """A frozen proxy's share goes to the others; woken, it joins anew and has broken no invariant."""
-    await until(all_have(7.5), shared, "all")  # or the others could have a seventh before its lease ends
+    await until(all_have(EVEN_PER_S), shared, "all")
     frozen = shared.proxies["n1"]
     frozen.freeze()
     others = [name for name in NAMES if name != "n1"]
-    await until(all_have(8.4, *others), shared, "a seventh each")
+    await until(all_have(SEVENTH_PER_S, *others), shared, "a seventh each")
     frozen.wake()
     await until(lambda now: 4.0 <= now["n1"] <= 8.2 and frozen.text().count("fleet.in") >= 2, shared, "again")
 
 
 async def cut_off(shared, *ways):
     """A proxy that is cut off has only its unleased quota; the others get the rest."""
-    await until(all_have(4.0), shared, "all")
+    await until(all_have(EVEN_PER_S), shared, "all")
     shared.links["n2"].cut(*ways)
     others = [name for name in NAMES if name != "n2"]
-    await until(all_have(8.4, *others), shared, "a seventh each")
-    spent = len(read_trace(shared.proxies["n2"].log, "all").spent)
+    await until(all_have(SEVENTH_PER_S, *others), shared, "a seventh each")
+    now_ms, before = steady_ms(), read_trace(shared.proxies["n2"].log, "all")
+    _, expired_ms, _ = before.shares[-1]
+    assert expired_ms <= now_ms, "its lease ended before the others had its share"
     await asyncio.sleep(3.0)
-    more = len(read_trace(shared.proxies["n2"].log, "all").spent) - spent
-    assert 0 < more <= 3.0 * 0.5 + 2, "its unleased quota: half a call a second"
+    more = read_trace(shared.proxies["n2"].log, "all").spent[len(before.spent) :]
+    assert 0 < len(more) <= 3.0 * 0.5 + 2, f"its unleased quota, half a call a second: {more} since {now_ms}"
     shared.links["n2"].heal()
     await until(all_have(4.0, "n2"), shared, "again")
 
@@ -166,7 +170,7 @@
     stopped = shared.proxies["n3"].log.stem
     await shared.stop_proxy("n3", signal.SIGTERM)
     others = [name for name in NAMES if name != "n3"]
-    await until(all_have(8.4, *others), shared, "a seventh each")
+    await until(all_have(SEVENTH_PER_S, *others), shared, "a seventh each")
     # On a busy machine the store may answer other members too late for their leases.
     history = read_history(shared.logs())
     assert not history.was_removed(history.last_membership(stopped)), history
