Emulators: a free port is none that the kernel may give to somebody else meanwhile

Inferred from the message and from the code; which socket had it was not seen. The reservations hold against those who ask free_port only.

Ports now come from 20,000 to 31,999, below those that Linux gives out itself, and are tried before they are returned.

--- a/emulators/fleet.py
+++ b/emulators/fleet.py
@@ -7,6 +7,7 @@
 import fcntl
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -22,6 +23,8 @@
 ROOT = Path(__file__).parent.parent
 LOG_TIMEOUT_S = 40.0  # for a line in a log
 POLL_INTERVAL_S, POLL_INTERVAL_MAX_S = 0.02, 0.4
+# Below the ports that Linux gives to connections and to sockets that are bound to none.
+PORTS = range(20_000, 32_000)
 
 
 class PortReservations:
@@ -50,22 +53,31 @@
 
 
 _RESERVATIONS = PortReservations(Path(tempfile.gettempdir()) / f"canvasplank-ports-{os.getuid()}")
+_RANDOM = random.SystemRandom()  # takes nothing from the sequence of a seed
 
 
 def free_port() -> int:
     """A free port that no process of this user has been given here before, but those that have ended.
 
     Listeners share their ports (``SO_REUSEPORT``): were one returned twice before its first owner
-    listens, two of hundreds that start at once would divide the callers of both.
+    listens, two of hundreds that start at once would divide the callers of both.  Nor does the kernel give it
+    to anybody before then.
     """
     while True:
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port: int = probe.getsockname()[1]
-        if _RESERVATIONS.reserve(port):
+        port = _RANDOM.choice(PORTS)
+        if _RESERVATIONS.reserve(port) and _is_free(port):
             return port
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 @dataclass
 class Proxy:
     """One process of the program; ``address`` is that of its callers."""
--- a/tests/test_emulators.py
+++ b/tests/test_emulators.py
@@ -15,11 +15,12 @@
 from canvasplank.codecs.errors import BadMessageError
 from canvasplank.config.addresses import parse_address
 from emulators.callers import Callers
-from emulators.fleet import PortReservations
+from emulators.fleet import PortReservations, free_port
 from emulators.server import CallServer
 from emulators.unreadable_messages import UnreadableKind
 
 ROOT = Path(__file__).parent.parent
+EPHEMERAL_PORTS = Path("/proc/sys/net/ipv4/ip_local_port_range")
 WAIT_S = 20.0
 RESERVE = """
 import sys
@@ -68,6 +69,14 @@
     assert mine.reserve(40_002), "its process has ended"
 
 
+def test_a_free_port_is_given_to_nobody_else_before_it_is_used():
+    """The kernel gave it to another socket while a proxy was starting, and that ended: address in use."""
+    first, last = map(int, EPHEMERAL_PORTS.read_text().split())
+    ports = {free_port() for _ in range(50)}
+    assert len(ports) == 50
+    assert not [port for port in ports if first <= port <= last]
+
+
 class Client:
     """One connection to a call server, and the messages that can be read on it."""
 
