Review stand-ins: an unexpected error is 'could not run', and ports are drawn together

Cause: Python's exit status for an exception is 1, which a case uses for 'the rule was broken', and two ports drawn one after the other could be the same.

Change: any exception ends a case with status 2; both ports of a proxy are drawn at once; what no case uses is gone.

--- a/review/standins.py
+++ b/review/standins.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -28,7 +29,6 @@
 MS_PER_S = 1000.0
 TIME_LIMIT_S = 110.0  # of one case; the limit of the task is 120 s
 READY_LIMIT_S = 30.0
-READ_BYTES = 65536
 BACKLOG = 8  # of a call server
 CIRCUITS = 100  # of a call server
 
@@ -58,11 +58,13 @@
         print(line, flush=True)
 
 
-def free_port() -> int:
-    """Return a port that is free on the loopback address."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+def free_ports(count: int) -> list[int]:
+    """Return different ports that are free on the loopback address."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((HOST, 0))
+        return [int(probe.getsockname()[1]) for probe in probes]
 
 
 # ---------------------------------------------------------------------------------------- call servers
@@ -325,11 +327,6 @@
         """Return the events up to now, as the configuration has them."""
         return {"rev": len(self._events), "notices": list(self._events)}
 
-    def start_anew(self, entries: list[dict[str, object]]) -> None:
-        """Begin the numbering anew with the whole list, as for a proxy that starts."""
-        self._events.clear()
-        self.tell(entries, whole=True)
-
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         # A cancellation comes at the end of the case only.
         with contextlib.suppress(asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
@@ -592,18 +589,17 @@
         record: Record,
         board: Board,
         options: dict[str, object],
-        environment: dict[str, str] | None = None,
     ) -> None:
-        self.port, self.admin_port = free_port(), free_port()
+        self.port, self.admin_port = free_ports(2)
         self._folder, self._board, self._options = folder, board, options
         self._config = folder / f"{name}.json"
         temporary = folder / f"{name}.tmp"
         temporary.mkdir()
-        variables = {"EDGE_CONFIG": str(self._config), "TMPDIR": str(temporary), **(environment or {})}
+        variables = {"EDGE_CONFIG": str(self._config), "TMPDIR": str(temporary)}
         super().__init__(name, deploy_command("run"), variables, record)
 
-    async def start_ready(self, *, known: bool = True) -> None:
-        """Start the process, and wait until it passes a test; ``known``: the configuration has the list."""
+    async def start_ready(self) -> None:
+        """Start the process, and wait until it passes a test."""
         configuration = {
             "name": self.name,
             "listen": f"{HOST}:{self.port}",
@@ -611,7 +607,7 @@
             "seed": secrets.token_hex(8),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "board": f"{HOST}:{self._board.port}",
-            "known": self._board.known() if known else {"rev": 0, "notices": []},
+            "known": self._board.known(),
             "settings": self._options,
         }
         self._config.write_text(json.dumps(configuration), encoding="utf-8")
@@ -632,14 +628,6 @@
         prober.close()
         return prober.test_results == [1]
 
-    async def admin(self, command: str) -> str:
-        """Send a command to the admin address, and return the answer."""
-        reader, writer = await asyncio.open_connection(HOST, self.admin_port)
-        writer.write(f"{command}\n".encode())
-        answer = (await reader.read(READ_BYTES)).decode()
-        writer.close()
-        return answer
-
 
 class _Silent(Record):
     def __init__(self) -> None:
@@ -681,9 +669,23 @@
     0).  It returns a line for each time that the rule was broken.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder)
-    record.write(f"disruption: {'yes' if trouble else 'no'}")
+    record: Record | None = None
+    try:
+        record = Record(folder)
+        record.write(f"disruption: {'yes' if trouble else 'no'}")
+        broken = _run_limited(record, case, trouble=trouble)
+    except (Exception, asyncio.CancelledError) as error:
+        # Python's own exit status for an exception would say that the rule was broken.
+        traceback.print_exc()
+        (record or _SILENT).write(f"the case could not run: {type(error).__name__}: {error}")
+        return NOT_RUN
+    for line in broken:
+        record.write(f"RULE BROKEN: {line}")
+    record.write("the rule was broken" if broken else "the rule held")
+    return BROKEN if broken else HELD
+
 
+def _run_limited(record: Record, case: Case, *, trouble: bool) -> list[str]:
     async def limited(temporary: Path) -> list[str]:
         task = asyncio.current_task()
         assert task is not None
@@ -692,16 +694,8 @@
         async with asyncio.timeout(TIME_LIMIT_S):
             return await case(record, temporary, trouble)
 
-    try:
-        with tempfile.TemporaryDirectory(prefix="review-") as temporary:
-            broken = asyncio.run(limited(Path(temporary)))
-    except (CaseCannotRunError, TimeoutError, OSError, AssertionError, asyncio.CancelledError) as error:
-        record.write(f"the case could not run: {type(error).__name__}: {error}")
-        return NOT_RUN
-    for line in broken:
-        record.write(f"RULE BROKEN: {line}")
-    record.write("the rule was broken" if broken else "the rule held")
-    return BROKEN if broken else HELD
+    with tempfile.TemporaryDirectory(prefix="review-") as temporary:
+        return asyncio.run(limited(Path(temporary)))
 
 
 if __name__ == "__main__":
