--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,7 +23,7 @@
 
 SERVERS, PROXIES = 4, 6  # of a small deployment on a busy day
 CALLS = 8
-HOLD_S = 12.0  # of each call, within the range of the site
+HOLD_S = 10.0  # of each call, within the means of the site
 RELEASE_LIMIT_S = 8.0 + 0.05  # of the rule: where no release could be sent
 RESTART_LIMIT_S = 3.0 + 0.7  # from SIGTERM to SIGKILL
 
