Calls at a server that drains at a restart are released to their callers

Callers saw: calls that had ended stayed open for them.

Cause: RendezvousSubset.select kept a draining server only if the same process had selected it before. A process that has just started has selected nothing, so it connected to no server that drained at its start, and that server had no connection for its releases.

Evidence: in the record of the case the stand-in of the draining server sees no connection after the restart, the three ready ones see one each and their releases pass; the list that a new RendezvousSubset returns lacks the server.

Change: a process inherits the servers that the one before it may have selected: of the newly listed ones those in the subset of all servers that had started no later. A draining one is kept until it is gone. Names and the hash outlast a restart, so this works without any state, and a server keeps no more connections than it had when it was ready. Not taken: every draining server, to which all restarted proxies of a large fleet would connect.

Related: a ready server that the old process kept only for its calls was left out in the same way; it is inherited too, for an hour. The soak now starts its proxies with the extension that the deploy file's `run` names.

--- a/canvasplank/cold_start/extension.py
+++ b/canvasplank/cold_start/extension.py
@@ -16,6 +16,7 @@
 CHECK_INTERVAL_MS = 1000.0  # between checks for servers to release and for a change of the fleet's size
 # The endpoint list is filtered again once the fleet's size has changed by more than this fraction.
 FLEET_SIZE_CHANGE_FRACTION = 0.1
+PREDECESSOR_CALLS_MS = 3_600_000.0  # calls of the process before this one are expected to last no longer
 
 
 def load(path: str) -> ExtensionFactory:
@@ -31,6 +32,7 @@
         self._context, self._settings = context, settings
         configured = read_settings(context.configuration.settings)
         self._configured_fleet_size = configured.instances
+        self._created_ms = context.scheduler.now_ms
         self._rng = random.Random(int(context.configuration.seed, 16))
         groups = (None if c.pools is None else frozenset(c.pools) for c in configured.classes)
         self._subset = RendezvousSubset(
@@ -101,11 +103,19 @@
     # ------------------------------------------------------------------------------------
 
     def _has_calls(self, server_id: str) -> bool:
-        """Return whether the server has a call of this proxy, or may not have received one's release yet."""
-        return self._context.exchange.has_calls_at(server_id) or self._context.servers.has_unsettled_releases(
-            server_id
+        """Return whether the server may have a call of this proxy, or may not have received one's release.
+
+        The calls of the process before this one are unknown, so that they are assumed at inherited servers.
+        """
+        return (
+            self._context.exchange.has_calls_at(server_id)
+            or self._context.servers.has_unsettled_releases(server_id)
+            or (self._subset.is_inherited(server_id) and self._predecessor_may_have_calls())
         )
 
+    def _predecessor_may_have_calls(self) -> bool:
+        return self._context.scheduler.now_ms - self._created_ms < PREDECESSOR_CALLS_MS
+
     def _fleet_size(self) -> int:
         """Return the number of proxies in the fleet, or the configured one if the fleet's is unknown."""
         return max(1, self._context.fleet_size() or self._configured_fleet_size)
--- a/experiments/soak/proxies.py
+++ b/experiments/soak/proxies.py
@@ -13,10 +13,11 @@
 from typing import Any
 
 from canvasplank.config.addresses import parse_address
-from emulators.fleet import free_port, start_program
+from emulators.fleet import ROOT, free_port, start_program
 from experiments.process_usage import open_descriptors, resident_mb
 from verification.call_trace import CallTrace, Drain, ProcessLife, Readiness
 
+DEPLOYED_SUBSET = ROOT / "deploy" / "subset.toml"  # the one extension that the deployed ``run`` enables
 READINESS_INTERVAL_S = 0.1
 READINESS_TIMEOUT_S = 1.0
 START_TIMEOUT_S = 20.0
@@ -64,7 +65,9 @@
 
     async def start(self) -> None:
         """Start the process without waiting until it is ready."""
-        self._process = await start_program(self._configuration, self._log)
+        self._process = await start_program(
+            self._configuration, self._log, CANVASPLANK_STARTING=str(DEPLOYED_SUBSET)
+        )
 
     async def until_ready(self) -> None:
         """Wait until the process is ready; raise ``TimeoutError`` after ``START_TIMEOUT_S``."""
--- a/tests/test_releases_across_processes.py
+++ b/tests/test_releases_across_processes.py
@@ -109,6 +109,30 @@
         assert_released(deployment)
 
 
+@pytest.mark.parametrize("lifecycles", [["draining"], ["draining", "ready"]], ids=["alone", "beside another"])
+def test_a_call_at_a_server_that_drains_at_a_restart_is_released_to_its_caller(tmp_path, lifecycles):
+    """With the deployed subset, a process that had just started connected to no draining server."""
+    servers = [FakeCallServer() for _ in lifecycles]
+    deployment = Deployment(tmp_path, servers, CANVASPLANK_STARTING="deploy/subset.toml")
+    try:
+        old = deployment.start()
+        connection = servers[0].accept()
+        with deployment.caller() as caller:
+            caller.sendall(set_up())
+            servers[0].answer(connection, servers[0].read_until(connection, "INVITE"))
+            read_message(caller, isup.Kind.ANSWER)
+            deployment.list(lifecycles)
+            old.send_signal(signal.SIGTERM)
+            servers[0].read_until_eof(connection)
+        assert old.wait(WAIT_S) == 0
+        deployment.start()
+        servers[0].accept()
+        servers[0].release(ID)
+        assert_released(deployment)
+    finally:
+        deployment.stop()
+
+
 LATE_CONNECTION_S = 0.3  # new connections may arrive until 0.4 s after SIGTERM
 
 
--- a/tests/test_rendezvous_subset.py
+++ b/tests/test_rendezvous_subset.py
@@ -14,7 +14,11 @@
 from conftest import Gateway, settings
 
 from canvasplank import interface as api
-from canvasplank.cold_start.extension import ColdStartExtension, ColdStartSettings
+from canvasplank.cold_start.extension import (
+    PREDECESSOR_CALLS_MS,
+    ColdStartExtension,
+    ColdStartSettings,
+)
 from canvasplank.cold_start.rendezvous_hashing import max_sharers, rank, select_subset
 from canvasplank.cold_start.rendezvous_subset import RendezvousSubset
 from canvasplank.config.discovery_events import Endpoint, to_server
@@ -173,6 +177,70 @@
         assert not subset.is_listed(leaves)
 
 
+class TestRestart:
+    """A new process of a proxy, which does not know at which servers the calls of the old one are."""
+
+    PROXIES, PER_CLASS = 60, 4
+
+    def subset(self, name: str, has_calls: bool = False) -> RendezvousSubset:
+        return RendezvousSubset(name, ALL, self.PER_CLASS, lambda _: has_calls)
+
+    def draining(self, *numbers: int) -> list[Endpoint]:
+        return [Endpoint(f"s-{n}", f"10.0.0.{n}:5060", "draining") for n in numbers]
+
+    @pytest.mark.parametrize("drained", [(0,), (0, 1, 2), tuple(range(12))])
+    def test_a_draining_server_is_kept_by_the_processes_whose_predecessors_had_selected_it(self, drained):
+        """A new process kept no draining server, so that calls there were never released to their callers."""
+        listed = [*self.draining(*drained), *instances(12)[len(drained) :]]
+        for name in names(self.PROXIES):
+            before = lifecycles(self.subset(name).select(True, instances(12)))
+            after = lifecycles(self.subset(name).select(True, listed))
+            drains = {i.instance_id for i in self.draining(*drained)}
+            assert {s for s, lifecycle in after.items() if lifecycle == "draining"} == before.keys() & drains
+
+    def test_a_draining_server_is_kept_although_it_is_replaced_by_later_ones(self):
+        """The later servers take its place in the ranking before the process starts."""
+        later = [Endpoint(f"t-{n}", f"10.0.1.{n}:5060", "ready", started_at_ms=1000.0 + n) for n in range(6)]
+        for name in names(self.PROXIES):
+            subset = self.subset(name)
+            subset.select(True, instances(12))
+            after = lifecycles(subset.select(False, [*later, *self.draining(*range(6))]))
+            listed = [*instances(12)[6:], *later, *self.draining(*range(6))]
+            restarted = lifecycles(self.subset(name).select(True, listed))
+            assert after.keys() <= restarted.keys()
+
+    @pytest.mark.parametrize("has_calls", [True, False])
+    def test_a_server_that_has_left_the_subset_is_kept_while_the_old_process_may_have_calls_there(
+        self, has_calls
+    ):
+        """A new process was not connected to servers that the old one kept only for its calls."""
+        later = [Endpoint(f"t-{n}", f"10.0.1.{n}:5060", "ready", started_at_ms=1000.0 + n) for n in range(6)]
+        for name in names(self.PROXIES):
+            old = self.subset(name, has_calls)
+            in_old = lifecycles(old.select(True, instances(12)))
+            for each in later:
+                in_old = lifecycles(old.select(False, [each]))
+            in_new = lifecycles(self.subset(name, has_calls).select(True, [*instances(12), *later]))
+            assert in_new == in_old
+
+    def test_a_server_that_drains_after_the_start_without_having_been_selected_is_not_kept(self):
+        subset = self.subset("proxy-0")
+        selected = lifecycles(subset.select(True, instances(12)))
+        other = next(i for i in instances(12) if i.instance_id not in selected)
+        drains = Endpoint(other.instance_id, other.host_port, "draining")
+        assert other.instance_id not in lifecycles(subset.select(False, [drains]))
+
+    def test_the_calls_of_the_old_process_are_waited_for_during_a_bounded_time(self):
+        context = FakeContext(100)
+        extension = ColdStartExtension(context, ColdStartSettings(servers_per_proxy=1))
+        older = instances(1)
+        later = [Endpoint(f"t-{n}", "x:1", "ready", started_at_ms=1000.0) for n in range(9)]
+        first = lifecycles(extension.select(True, [*older, *later]))
+        assert first.pop("s-0") == "draining" and list(first.values()) == ["ready"]
+        context.scheduler.now_ms += PREDECESSOR_CALLS_MS
+        assert lifecycles(extension.select(False, [])) == first
+
+
 class TestController:
     """How the controller uses the number of sharers and the initial rate."""
 
@@ -246,6 +314,7 @@
         example = json.loads((ROOT / "examples" / "config.json").read_text())
         example["settings"]["instances"] = instances
         self.configuration = SimpleNamespace(settings=example["settings"], seed="1", name="proxy-0")
+        self.scheduler = SimpleNamespace(now_ms=0.0)
         self.exchange = SimpleNamespace(has_calls_at=lambda _: False)
         self.discovery = SimpleNamespace(use_poll_backoff=lambda _: None)
         self.servers = SimpleNamespace(
--- a/tests/test_soak_proxies.py
+++ b/tests/test_soak_proxies.py
@@ -24,7 +24,7 @@
 
 
 def test_a_process_that_ends_without_sigterm_violates_the_rule_on_exits(tmp_path, monkeypatch):
-    async def start(configuration, log):
+    async def start(configuration, log, **environment):
         log.touch()
         return await asyncio.create_subprocess_exec(sys.executable, "-c", "input()", stdin=subprocess.PIPE)
 
--- a/tests/two_processes.py
+++ b/tests/two_processes.py
@@ -120,32 +120,43 @@
 class Deployment:
     """Processes of the program that share a configuration and an address for callers, and their servers."""
 
-    def __init__(self, folder: Path, servers: list[FakeCallServer], settings: dict | None = None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        servers: list[FakeCallServer],
+        settings: dict | None = None,
+        **environment: str,
+    ) -> None:
         self._folder, self.servers = folder, servers
+        self._environment = environment
         self.processes: list[subprocess.Popen] = []
         self.port = free_port()
+        self._configuration = {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.port}",
+            "seed": "8c1f30d27a5be964",
+            "settings": settings or SETTINGS,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 64},
+            "board": f"127.0.0.1:{free_port()}",
+        }
+        self.list(["ready"] * len(servers))
+
+    def list(self, lifecycles: list[str]) -> None:
+        """Write the configuration of the next process, with the servers in these lifecycles."""
         entries = [
             {
                 "instanceId": f"s-{number}",
                 "hostPort": f"127.0.0.1:{server.listener.getsockname()[1]}",
                 "cell": number,
-                "lifecycle": "ready",
+                "lifecycle": lifecycle,
                 "startedAtMs": 0,
                 "zone": "z",
                 "new": True,
             }
-            for number, server in enumerate(servers)
+            for number, (server, lifecycle) in enumerate(zip(self.servers, lifecycles, strict=True))
         ]
-        configuration = {
-            "name": "n0",
-            "listen": f"127.0.0.1:{self.port}",
-            "seed": "8c1f30d27a5be964",
-            "settings": settings or SETTINGS,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 64},
-            "board": f"127.0.0.1:{free_port()}",
-            "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"reset": True, "instances": entries}}]},
-        }
-        (folder / "config.json").write_text(json.dumps(configuration))
+        known = {"rev": 1, "notices": [{"rev": 1, "pool": {"reset": True, "instances": entries}}]}
+        (self._folder / "config.json").write_text(json.dumps(self._configuration | {"known": known}))
 
     def start(self) -> subprocess.Popen:
         """Start another process, and wait until it listens."""
@@ -157,7 +168,7 @@
                 cwd=ROOT,
                 stderr=output,
                 stdout=output,
-                env=environment | {"EDGE_CONFIG": str(self._folder / "config.json")},
+                env=environment | {"EDGE_CONFIG": str(self._folder / "config.json")} | self._environment,
             )
         self.processes.append(process)
         deadline_s = time.monotonic() + WAIT_S
