THOUSANDTHS_PER_UNIT is defined once, beside the rates that it describes

Need: the constant stood in three modules, once as an integer and twice as a float.

Change: fleet.state has it; config, renewal_reporter and cli import it. Quotients are the same for either type.

--- a/canvasplank/cli.py
+++ b/canvasplank/cli.py
@@ -17,11 +17,10 @@
 from canvasplank.fleet.backend import Backend
 from canvasplank.fleet.config import FleetSettings, load_fleet_settings
 from canvasplank.fleet.lease_transaction import leasable_total
-from canvasplank.fleet.state import FleetState
+from canvasplank.fleet.state import THOUSANDTHS_PER_UNIT, FleetState
 from canvasplank.store.__main__ import cli as store_cli
 
 MS_PER_S = 1000.0
-THOUSANDTHS_PER_UNIT = 1000.0  # allocations are in thousandths of a unit per second
 QUIET_AFTER_RENEWALS = 2.5  # renewal intervals without a request after which a member is shown as quiet
 
 Result = TypeVar("Result")
--- a/canvasplank/fleet/config.py
+++ b/canvasplank/fleet/config.py
@@ -11,9 +11,9 @@
 from canvasplank.fleet.backend import Backend
 from canvasplank.fleet.budget_limiter import BudgetKind, BudgetScope
 from canvasplank.fleet.lease_holder import BudgetLimits, Lease
+from canvasplank.fleet.state import THOUSANDTHS_PER_UNIT
 
 Milliseconds = Annotated[float, msgspec.Meta(gt=0, le=600_000)]
-THOUSANDTHS_PER_UNIT = 1000  # rates are divided and leased in thousandths of a unit
 
 
 class Budget(msgspec.Struct, forbid_unknown_fields=True):
--- a/canvasplank/fleet/renewal_reporter.py
+++ b/canvasplank/fleet/renewal_reporter.py
@@ -12,10 +12,10 @@
 from canvasplank.counters import Counters
 from canvasplank.fleet.lease_holder import LeaseHolder
 from canvasplank.fleet.lease_messages import Heartbeat, LeaseRequest, LeaseResponse
+from canvasplank.fleet.state import THOUSANDTHS_PER_UNIT
 from canvasplank.runtime.structured_logging import log_event
 
 LOG = logging.getLogger(__name__)
-THOUSANDTHS_PER_UNIT = 1000.0  # rates are in thousandths of a unit per second
 
 
 class RenewalReporter:
--- a/canvasplank/fleet/state.py
+++ b/canvasplank/fleet/state.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+THOUSANDTHS_PER_UNIT = 1000  # of all rates of the fleet's budgets
+
 
 class Allocation(msgspec.Struct, frozen=True):
     """One member's allocation of one budget, in thousandths of a unit per second."""
