One Statement for all databases, and a name of its own for a selected row

Need: fleet.schema and database.statements each defined a Statement, and two different types were called Row.

Change: the fleet uses the Statement of database.statements; the columns of a result are a SelectedRow there, and a Row is one to be written.

--- a/canvasplank/database/statements.py
+++ b/canvasplank/database/statements.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple, TypeAlias
+from typing import Any, NamedTuple, TypeAlias
 
 Value: TypeAlias = str | int | None
-Row: TypeAlias = tuple[Value, ...]
+Row: TypeAlias = tuple[Value, ...]  # to be written
+SelectedRow: TypeAlias = tuple[Any, ...]  # the columns of a result, whose types the statement determines
 
 
 class Statement(NamedTuple):
--- a/canvasplank/fleet/backend.py
+++ b/canvasplank/fleet/backend.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import Any, NamedTuple, Protocol
+from typing import NamedTuple, Protocol
 
 from canvasplank.database.migrations import Schema
+from canvasplank.database.statements import SelectedRow, Statement
 from canvasplank.fleet.lease_messages import LeaseRequest, LeaseResponse
-from canvasplank.fleet.schema import Statement
 from canvasplank.fleet.state import FleetState
 
 # A plain pair of SQL and parameters is accepted too.  The iterable is consumed within the transaction.
 Statements = Iterable[Statement | tuple[str, tuple[object, ...]]]
-Row = tuple[Any, ...]  # the selected columns
 
 
 class FencingToken(NamedTuple):
@@ -48,7 +47,7 @@
     async def execute_fenced(self, token: FencingToken, statements: Statements) -> None:
         """Execute all statements in one transaction; raises ``StaleTermError`` if the term has ended."""
 
-    async def read(self, sql: str, parameters: tuple[object, ...] = ()) -> list[Row]:
+    async def read(self, sql: str, parameters: tuple[object, ...] = ()) -> list[SelectedRow]:
         """Return the rows of one read-only statement."""
 
     async def read_state(self) -> FleetState:
--- a/canvasplank/fleet/postgresql.py
+++ b/canvasplank/fleet/postgresql.py
@@ -5,8 +5,9 @@
 import asyncpg
 
 from canvasplank.database.postgresql import PostgresqlEngine
+from canvasplank.database.statements import SelectedRow
 from canvasplank.fleet import lease_transaction, schema
-from canvasplank.fleet.backend import FencingToken, Row, StaleTermError, Statements
+from canvasplank.fleet.backend import FencingToken, StaleTermError, Statements
 from canvasplank.fleet.lease_messages import LeaseRequest, LeaseResponse
 from canvasplank.fleet.state import FleetState
 
@@ -51,7 +52,7 @@
 
         await self.run(work)
 
-    async def read(self, sql: str, parameters: tuple[object, ...] = ()) -> list[Row]:
+    async def read(self, sql: str, parameters: tuple[object, ...] = ()) -> list[SelectedRow]:
         """See ``Backend``."""
         return [tuple(row) for row in await self.run(lambda connection: connection.fetch(sql, *parameters))]
 
--- a/canvasplank/fleet/schema.py
+++ b/canvasplank/fleet/schema.py
@@ -7,11 +7,11 @@
 
 import logging
 from collections.abc import Iterable, Iterator
-from typing import NamedTuple
 
 import msgspec
 
 from canvasplank.database.migrations import Schema
+from canvasplank.database.statements import Statement
 from canvasplank.fleet.state import Allocation, FleetState, Member, Task
 
 LOG = logging.getLogger(__name__)
@@ -70,13 +70,6 @@
     sees_discovery: bool = msgspec.field(name="hears", default=False)
 
 
-class Statement(NamedTuple):
-    """An SQL statement with numbered parameters, and their values."""
-
-    sql: str
-    parameters: tuple[object, ...] = ()
-
-
 MemberRow = tuple[int, str, int, int, str]  # the columns of SELECT_MEMBERS
 TaskRow = tuple[str, int, int | None, int, int | None]  # the columns of SELECT_TASKS
 
--- a/canvasplank/fleet/sqlite.py
+++ b/canvasplank/fleet/sqlite.py
@@ -5,8 +5,9 @@
 import sqlite3
 
 from canvasplank.database.sqlite import SqliteEngine, to_sqlite, transaction
+from canvasplank.database.statements import SelectedRow
 from canvasplank.fleet import lease_transaction, schema
-from canvasplank.fleet.backend import FencingToken, Row, StaleTermError, Statements
+from canvasplank.fleet.backend import FencingToken, StaleTermError, Statements
 from canvasplank.fleet.lease_messages import LeaseRequest, LeaseResponse
 from canvasplank.fleet.state import FleetState
 
@@ -43,7 +44,7 @@
 
         await self.run(work)
 
-    async def read(self, sql: str, parameters: tuple[object, ...] = ()) -> list[Row]:
+    async def read(self, sql: str, parameters: tuple[object, ...] = ()) -> list[SelectedRow]:
         """See ``Backend``."""
         return await self.run(lambda connection: connection.execute(to_sqlite(sql), parameters).fetchall())
 
