The waits of test_operations for a line of the log end in their time

Need: wait_for read the log in the test's own thread, so that it blocked past its bound where the line never came.

Change: a thread reads the log into a queue, and the wait takes lines from there within its time.

--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
+import queue
 import signal
 import socket
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -42,18 +45,27 @@
             stderr=subprocess.PIPE,
             text=True,
         )
-        self.lines: list[str] = []
-
-    def wait_for(self, text: str) -> None:
-        """Read the log until a line contains ``text``; fails if the process exits, or after ``WAIT_S``."""
-        deadline = time.monotonic() + WAIT_S
-        while time.monotonic() < deadline:
-            line = self.process.stderr.readline()
-            if not line:
-                break
-            self.lines.append(line)
-            if text in line:
-                return
+        self.lines: list[str] = []  # of the log, those that ``wait_for`` has passed
+        self._unread: queue.SimpleQueue[str] = queue.SimpleQueue()  # of the log; empty: the log has ended
+        self._reader = threading.Thread(target=self._read_log, daemon=True)
+        self._reader.start()
+
+    def _read_log(self) -> None:
+        for line in self.process.stderr:
+            self._unread.put(line)
+        self._unread.put("")
+
+    def wait_for(self, text: str, timeout_s: float = WAIT_S) -> None:
+        """Pass the lines of the log up to one that contains ``text``.
+
+        Fails if the process exits before that line, or after ``timeout_s``.
+        """
+        deadline_s = time.monotonic() + timeout_s
+        with contextlib.suppress(queue.Empty):
+            while line := self._unread.get(timeout=max(0.0, deadline_s - time.monotonic())):
+                self.lines.append(line)
+                if text in line:
+                    return
         pytest.fail(f"no line with {text!r}: {self.lines}")
 
     def stop(self) -> int:
@@ -63,6 +75,7 @@
             return self.process.wait(WAIT_S)
         finally:
             self.process.kill()
+            self._reader.join(WAIT_S)  # it ends with the log
             self.process.stderr.close()
 
 
@@ -75,6 +88,16 @@
             proxy.stop()
 
 
+def test_a_wait_for_a_line_that_never_comes_ends_in_its_time(tmp_path, started):
+    """The wait blocked in a read, for as long as the process lived and logged nothing."""
+    started.append(proxy := Proxy(tmp_path, free_port()))
+    proxy.wait_for("listens on")
+    started_s = time.monotonic()
+    with pytest.raises(pytest.fail.Exception, match="no line with 'never'"):
+        proxy.wait_for("never", timeout_s=0.2)
+    assert time.monotonic() - started_s < WAIT_S
+
+
 def test_a_new_version_listens_beside_the_old_one(tmp_path, started):
     """On an upgrade, the new process exited with status 2 because its address was in use."""
     port = free_port()
