Tests import free_port from where it is defined

Need: four test modules took it from test_operations, which only imports it.

Change: imports alone.

--- a/tests/race_conditions.py
+++ b/tests/race_conditions.py
@@ -9,8 +9,6 @@
 from pathlib import Path
 from types import SimpleNamespace
 
-from test_operations import free_port
-
 from canvasplank import interface as api
 from canvasplank.codecs import isup
 from canvasplank.config.platform_settings import RequestBounds
@@ -20,6 +18,7 @@
 from canvasplank.network.stream import BufferBudget
 from canvasplank.runtime.event_loop import PipeEventLoop
 from canvasplank.runtime.scheduler import Scheduler, TimerQueue
+from emulators.fleet import free_port
 
 ROOT = Path(__file__).parent.parent
 WAIT_S = 20.0  # time-out of every wait; no test depends on speed
--- a/tests/test_race_conditions_shutdown.py
+++ b/tests/test_race_conditions_shutdown.py
@@ -15,13 +15,13 @@
 import pytest
 from exchange_replay import SETTINGS, Replay
 from race_conditions import ID, REJECTED, ROOT, TEST, WAIT_S, read_until_eof, run_coroutine, set_up
-from test_operations import free_port
 
 from canvasplank.codecs import isup
 from canvasplank.config.configuration import load_configuration
 from canvasplank.network.predecessor import PredecessorStream
 from canvasplank.program import Program
 from canvasplank.runtime.shutdown import LAME_DUCK_MS
+from emulators.fleet import free_port
 
 
 @pytest.fixture
--- a/tests/test_successor.py
+++ b/tests/test_successor.py
@@ -8,7 +8,6 @@
 import pytest
 from race_conditions import ID, WAIT_S, run_coroutine
 from server_side import ServerSideRig, offered_call
-from test_operations import free_port
 
 from canvasplank.codecs import isup, sip
 from canvasplank.codecs.q850 import ReleaseCause
@@ -17,6 +16,7 @@
 from canvasplank.network.stream import BufferBudget
 from canvasplank.network.successor import Successor
 from canvasplank.runtime.scheduler import Scheduler, TimerQueue
+from emulators.fleet import free_port
 
 OTHER_ID = "bb" * 8
 
--- a/tests/two_processes.py
+++ b/tests/two_processes.py
@@ -15,9 +15,9 @@
 
 from exchange_replay import SETTINGS
 from race_conditions import ROOT, WAIT_S
-from test_operations import free_port
 
 from canvasplank.codecs import isup, sip
+from emulators.fleet import free_port
 
 READ_BYTES = 65_536
 ANSWER = b"v=0 answer"
