--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -440,8 +440,6 @@
             if self.answers_after_s:
                 await asyncio.sleep(self.answers_after_s)
                 await writer.drain()
-            if writer.is_closing():
-                return
             self.answered += 1
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
             while not writer.is_closing():
@@ -453,6 +451,8 @@
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(1.0), self._changed:
                         await self._changed.wait_for(lambda: len(self.events) > sent)  # noqa: B023
+        self._writers.discard(writer)
+        writer.close()
 
 
 # ------------------------------------------------------------------------------------ callers
