--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -120,7 +120,6 @@
     status: int
     headers: dict[str, str]
     body: bytes
-    number: str = ""  # in the address of the first line
 
     @property
     def call_id(self) -> str:
@@ -144,8 +143,7 @@
     del buffer[:size]
     if first.startswith("SIP/2.0 "):
         return SipMessage(headers["cseq"].split()[1], int(first.split()[1]), headers, body)
-    method, address, _ = first.split(" ", 2)
-    return SipMessage(method, 0, headers, body, address.removeprefix("sip:").partition("@")[0])
+    return SipMessage(first.split()[0], 0, headers, body)
 
 
 def sip(first: str, headers: dict[str, str], body: bytes = b"", length: int | None = None) -> bytes:
@@ -177,7 +175,6 @@
     writer: asyncio.StreamWriter
     number: int
     last_s: float
-    forgotten: bool = False  # neither read nor written any more
     set_ups: set[str] = field(default_factory=set)
 
 
@@ -204,16 +201,13 @@
         self.calls: dict[str, Standing] = {}
         self.ended_s: dict[str, float] = {}  # when each call was over
         self.connections: list[Line] = []
-        self.refuses: Callable[[SipMessage], tuple[int, str] | None] = lambda _: None
         self.spoils: Callable[[SipMessage, bytes], bytes | None] = lambda _message, _body: None
         self.cut_by_proxy: dict[str, float] = {}  # calls that a release of the proxy's has cut
         self.answered: dict[str, bytes] = {}
-        self.set_ups_s: list[float] = []  # when each set-up came
         self._unconfirmed: dict[str, int] = {}
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._count = 0
-        self._vanished = False
 
     @property
     def address(self) -> str:
@@ -249,16 +243,6 @@
         for task in self._tasks:
             task.cancel()
 
-    def vanish(self) -> None:
-        """End the machine without a sign: connections stay open and silent, new ones bring nothing."""
-        self.record.note(self.name, f"machine vanishes, calls cut: {' '.join(self.calls) or 'none'}")
-        self._end_calls()
-        self._vanished = True
-        if self._server is not None:
-            self._server.close()
-        for line in self.connections:
-            line.forgotten = True
-
     def _end_calls(self) -> None:
         for call_id, call in list(self.calls.items()):
             if call.timer is not None:
@@ -289,8 +273,6 @@
         buffer = bytearray()
         with contextlib.suppress(OSError, asyncio.CancelledError):
             while data := await reader.read(READ_BYTES):
-                if line.forgotten:
-                    continue
                 line.last_s = self.record.now_s()
                 buffer += data
                 while (message := take_sip(buffer)) is not None:
@@ -317,8 +299,8 @@
                 self._report(line)
 
     def write(self, line: Line, data: bytes) -> None:
-        """Write to a connection, unless the machine has vanished or forgotten it."""
-        if not line.forgotten and not line.writer.is_closing():
+        """Write to a connection, unless it has ended."""
+        if not line.writer.is_closing():
             line.last_s = self.record.now_s()
             line.writer.write(data)
 
@@ -333,7 +315,6 @@
         match message.method:
             case "INVITE":
                 line.set_ups.add(call_id)
-                self.set_ups_s.append(self.record.now_s())
                 loop = asyncio.get_running_loop()
                 loop.call_later(self.answer_s, self._answer, line, message)
             case "CANCEL":
@@ -350,15 +331,10 @@
 
     def _answer(self, line: Line, message: SipMessage) -> None:
         call_id = message.call_id
-        if call_id not in line.set_ups or line.writer.is_closing() or self._vanished:
+        if call_id not in line.set_ups or line.writer.is_closing():
             return
         line.set_ups.discard(call_id)
         headers = response(message)
-        if (refusal := self.refuses(message)) is not None:
-            status, note = refusal
-            self.record.note(self.name, f"refuses {call_id} with {status} {note}")
-            self.write(line, sip(f"SIP/2.0 {status} No", headers | {"X-Outcome": note}))
-            return
         body = f"{call_id}\r\nc=IN IP4 127.0.0.1\r\nm=audio {self.port} RTP/AVP 0 8 101\r\n".encode()
         self.answered[call_id] = body
         hold_s = self.hold_s()
@@ -379,14 +355,12 @@
             call.timer.cancel()
         self.ended_s[call_id] = self.record.now_s()
         line = call.line
-        if line not in self.connections or line.forgotten:
-            usable = [each for each in self.connections if not each.forgotten]
-            if not usable:
-                self._unconfirmed[call_id] = cause
+        self._unconfirmed[call_id] = cause
+        if line not in self.connections:
+            if not self.connections:
                 self.record.note(self.name, f"{call_id} is over, no connection to release it on")
                 return
-            line = usable[-1]
-        self._unconfirmed[call_id] = cause
+            line = self.connections[-1]
         self._release(line, call_id, cause)
         self._changed()
 
@@ -405,16 +379,8 @@
     def __init__(self, record: Record) -> None:
         self.record, self.port = record, free_port()
         self.events: list[dict[str, object]] = []
-        self.answers_after_s = 0.0  # how long a poll waits for its answer
-        self.polls = self.answered = 0
         self._changed = asyncio.Condition()
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
-
-    def break_off(self) -> None:
-        """End all polls."""
-        for writer in self._writers:
-            writer.close()
 
     async def start(self) -> None:
         """Listen."""
@@ -435,12 +401,6 @@
             head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
             found = re.search(r"last-event-id: *(\d+)", head)
             sent = int(found[1]) if found else 0
-            self.polls += 1
-            self._writers.add(writer)
-            if self.answers_after_s:
-                await asyncio.sleep(self.answers_after_s)
-                await writer.drain()
-            self.answered += 1
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
             while not writer.is_closing():
                 for event in self.events[sent:]:
@@ -451,7 +411,6 @@
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(1.0), self._changed:
                         await self._changed.wait_for(lambda: len(self.events) > sent)  # noqa: B023
-        self._writers.discard(writer)
         writer.close()
 
 
@@ -502,7 +461,6 @@
     def __init__(self, address: tuple[str, int], record: Record, name: str = "caller") -> None:
         self.address, self.record, self.name = address, record, name
         self.calls: dict[str, Call] = {}
-        self.unknown: list[str] = []  # messages about calls that were never made here
         self._writer: asyncio.StreamWriter | None = None
         self._task: asyncio.Task[None] | None = None
 
@@ -558,7 +516,6 @@
             return
         call = self.calls.get(call_id)
         if call is None:
-            self.unknown.append(call_id)
             return
         cause = parameters.get(CAUSE, b"\0")[0]
         if kind == ANSWER:
