--- a/review/6/case.py
+++ b/review/6/case.py
@@ -40,6 +40,8 @@
     await _call_for(callers, FLOOD_S)
     judged = list(callers.calls.values())
     await asyncio.sleep(WAIT_S + LOST_AFTER_S + 0.5)
+    if case.trouble and not bad_clients.runs:
+        raise RuntimeError("the bad clients have ended")
     await bad_clients.end()
     lost = [
         call
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -47,6 +47,8 @@
     case.programs.append(proxy)
     await proxy.launch()
     callers = Callers(proxy.address, record)
+    if not _memory_mb(proxy):
+        raise RuntimeError("the proxy's memory cannot be read")
     bad = asyncio.create_task(_bad_client(case, proxy)) if case.trouble else None
     until_s, faults, next_note_s = record.now_s() + FOR_S, [], 0.0
     largest_mb = 0.0
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 
 from standins_2 import Board, Callers, CallServer, Case, Proxy, main
 
+SERVERS = 4  # one of them is replaced: 25%
 CALLS = 6
+HOLD_S = 11.0
 DRAINS_S = 6.5  # from the event "draining" to the end of the old process
 TAKEN_OVER_AFTER_S = 1.0  # from the end of the old process to the start of the new one at its address
 TOLD_AFTER_S = 2.0  # from the end of the old process to the event on the notice board
@@ -18,13 +21,13 @@
 async def play(case: Case) -> int:
     """Set calls up at the old server, let the new one take its place, and look for the calls' releases."""
     record = case.record
-    old = CallServer("s-old", record, hold_s=lambda: 13.0)
-    other = CallServer("s-other", record)
+    old = CallServer("s-old", record, hold_s=lambda: HOLD_S)
+    others = [CallServer(f"s-{number}", record) for number in range(1, SERVERS)]
     new = CallServer("s-new", record, port=old.port)
     board = Board(record)
-    for each in (old, other, board):
+    for each in (old, *others, board):
         await each.start()
-    await board.tell(old.entry(0), other.entry(1), reset=True)
+    await board.tell(old.entry(0), *(server.entry(cell) for cell, server in enumerate(others, 1)), reset=True)
     proxy = Proxy(record, case.folder, board)
     case.programs.append(proxy)
     await proxy.launch()
@@ -63,10 +66,10 @@
 
 
 async def _go_on(callers: Callers, for_s: float) -> None:
-    """Let the callers go on: two calls a second at the other server."""
+    """Let the callers go on: two calls a second at the other servers."""
     until_s = callers.record.now_s() + for_s
     while callers.record.now_s() < until_s:
-        await callers.call(cell=1)
+        await callers.call(cell=random.randrange(1, SERVERS))
         await asyncio.sleep(min(0.5, max(0.0, until_s - callers.record.now_s())))
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -65,6 +65,8 @@
         ):
             over_s = record.now_s() - max(ends)
             faults.append(f"{call.call_id} was over {over_s:.1f} s ago and its caller has no release")
+    if not any(call.stands for call in callers.calls.values()):
+        raise RuntimeError("no call stood")
     return case.verdict(faults, f"{len(callers.calls)} calls, {len(spoilt)} answers spoilt")
 
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,8 +6,7 @@
 .venv/bin/python - <<'END'
 import pathlib
 
-for name in ["standins_2.py", "6/bad_clients.py", *(f"{number}/case.py" for number in range(6, 11))]:
+for name in ["run_case.py", "standins_2.py", "6/bad_clients.py", *(f"{number}/case.py" for number in range(6, 11))]:
     path = pathlib.Path("review", name)
-    if path.exists():
-        compile(path.read_text(), str(path), "exec")
+    compile(path.read_text(), str(path), "exec")
 END
