Class names that callers make up are no longer kept as counters

What callers saw: the process passed its memory limit and was killed; one client on one connection is enough, sending set-ups of classes that do not exist, each with a name of its own.

Cause: the rejection of such a set-up was counted by class, and Counters made an entry for each new name and removed none. Related: the store of record kept these names (and tenants') of up to 16 KB in each queued record.

Change: Counters is made with the classes of the settings and counts no other name, so its size is fixed at the start. Each class of the settings is listed to the front from the start. Names outside the settings are recorded as "-".

test_counters_by_class names its classes now, since Counters counts no others; what it asserts has not changed. The emulator of service discovery closes its connections at its end: left open, they were closed by the garbage collector within another test, which failed there with 'AST constructor recursion depth mismatch' (Python 3.11).

--- a/canvasplank/counters.py
+++ b/canvasplank/counters.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Collection
 
 # Counted by class; the names are fixed by the front that reads them.
 CLASS_FIGURES = ("served", "refused", "failed", "attempts")
@@ -11,9 +12,12 @@
 class Counters:
     """Counters by name.  Groups: taken (received), sent, answered, ended, sockets, and one per extension."""
 
-    def __init__(self) -> None:
+    def __init__(self, class_names: Collection[str] = ()) -> None:
+        """``class_names``: the classes of the settings; no other name that a caller sends is counted."""
         self._counts: Counter[str] = Counter()
-        self._by_class: Counter[tuple[str, str]] = Counter()  # keys: (figure, class name)
+        self._by_class: dict[tuple[str, str], int] = {
+            (figure, class_name): 0 for figure in CLASS_FIGURES for class_name in class_names
+        }
 
     def add(self, name: str, count: int = 1) -> None:
         """Add to a counter; names have the form ``group.name``."""
@@ -24,13 +28,17 @@
         self._counts[name] = value
 
     def count_for_class(self, figure: str, class_name: str) -> None:
-        """Add 1 to a class's count of answers or attempts; ``figure`` is one of ``CLASS_FIGURES``."""
-        self._by_class[figure, class_name] += 1
+        """Add 1 to a class's count of answers or attempts; ``figure`` is one of ``CLASS_FIGURES``.
+
+        Does nothing for a class that is not in the settings.
+        """
+        if (figure, class_name) in self._by_class:
+            self._by_class[figure, class_name] += 1
 
     def metric_lines(self, in_flight: int, servers_known: int, servers_excluded: int) -> list[str]:
         """Return the metrics in the text exposition format that the front reads, one per line.
 
-        Every class seen has all ``CLASS_FIGURES``, so that a 0 is reported and does not look missing.
+        Every class of the settings has all ``CLASS_FIGURES``, so that a 0 does not look missing.
         """
         classes = sorted({class_name for _, class_name in self._by_class})
         lines = [
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -16,7 +16,7 @@
 from canvasplank.network.caller_releases import CallerReleases
 from canvasplank.network.caller_stream import CallerStream
 from canvasplank.network.listener import Listener
-from canvasplank.network.set_up_parser import is_within_bounds, parse_set_up
+from canvasplank.network.set_up_parser import is_within_bounds, parse_set_up, replace_unknown_names
 from canvasplank.network.stream import BufferBudget
 
 REJECTION_CAUSES = {
@@ -182,6 +182,7 @@
         stream.last_set_up_ms = self.exchange.scheduler.now_ms
         if new and not is_within_bounds(call, message, self._bounds):
             # No server can use it: forwarding it would only burden the servers and delay other calls.
+            replace_unknown_names(call, self._bounds)
             self.exchange.reject_invalid(call)
             return
         stream.has_set_up_calls = True
--- a/canvasplank/network/set_up_parser.py
+++ b/canvasplank/network/set_up_parser.py
@@ -12,6 +12,7 @@
 from canvasplank.runtime.scheduler import Scheduler
 
 NO_CALL_ID = "0" * 16
+UNKNOWN_NAME = "-"  # recorded in place of a class or tenant that is not in the settings
 NUMBER_PATTERN = re.compile(r"[A-Za-z0-9*#+._-]{1,64}")  # valid in the request line to a server
 FIGURE_NAMES = ("dest", "width", "via", "again")
 FIGURE_PATTERN = re.compile(r"-?[0-9]{1,9}")
@@ -70,6 +71,17 @@
     )
 
 
+def replace_unknown_names(call: CallRecord, bounds: RequestBounds) -> None:
+    """Replace a class and a tenant outside the settings, so that no name of a caller's choice is kept.
+
+    The store of record keeps the names of rejected calls too, for as long as its database is unavailable.
+    """
+    if call.class_name not in bounds.classes:
+        call.class_name = UNKNOWN_NAME
+    if bounds.tenants and call.tenant not in bounds.tenants:
+        call.tenant = UNKNOWN_NAME
+
+
 def _parse_figures(message: isup.Message) -> dict[str, int]:
     """Returns the figures in ``FIGURE_NAMES`` that a set-up holds; raises ``BadMessageError``."""
     figures: dict[str, int] = {}
--- a/canvasplank/program.py
+++ b/canvasplank/program.py
@@ -64,7 +64,7 @@
         self._reread_configuration = reread_configuration
         settings = read_settings(configuration.settings)
         limits = read_connection_limits(configuration.settings)
-        self.counters = Counters()
+        self.counters = Counters([each.name for each in settings.classes])
         self.scheduler = Scheduler(TimerQueue())
         controller = self.controller = Controller(settings, int(configuration.seed, 16), self._budget_delay)
         memory = configuration.limits.memory_mb * MIB
--- a/emulators/discovery.py
+++ b/emulators/discovery.py
@@ -67,25 +67,26 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         self.polls.append(asyncio.get_running_loop().time())
-        if self.closes_connections:
-            writer.close()
-            return
         # Keeps asyncio from logging an error where ``stop`` cancels this handler.
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            if self.stalled:
-                await reader.read()
-                return
-            last_revision = _last_event_id(await reader.readuntil(b"\r\n\r\n"))
-            if self.busy_s is not None:
-                await self._reject(writer, self.busy_s)
-                return
+            if not self.closes_connections:
+                await self._answer(reader, writer)
+        writer.close()
+
+    async def _answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.stalled:
+            await reader.read()
+            return
+        last_revision = _last_event_id(await reader.readuntil(b"\r\n\r\n"))
+        if self.busy_s is not None:
+            await self._reject(writer, self.busy_s)
+        else:
             await self._stream(writer, last_revision)
 
     async def _reject(self, writer: asyncio.StreamWriter, retry_after_s: int) -> None:
         head = f"HTTP/1.1 503 Busy\r\nRetry-After: {retry_after_s}\r\nContent-Length: 0\r\n\r\n"
         writer.write(head.encode())
         await writer.drain()
-        writer.close()
 
     async def _stream(self, writer: asyncio.StreamWriter, revision: int) -> None:
         """Send the events after this revision, then each new one, and a comment at least every interval."""
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -46,7 +46,7 @@
 
 
 def test_counters_by_class():
-    counters = Counters()
+    counters = Counters(["voice", 'a"b'])
     for metric, name in [("served", "voice"), ("served", "voice"), ("attempts", "voice"), ("failed", 'a"b')]:
         counters.count_for_class(metric, name)
     lines = counters.metric_lines(2, 5, 1)
@@ -54,3 +54,10 @@
     assert 'edge_refused{class="voice"} 0' in lines, "a known class has all its metrics"
     assert 'edge_failed{class="a\\"b"} 1' in lines
     assert lines[-3:] == ["edge_in_flight 2", "edge_call_servers_known 5", "edge_call_servers_excluded 1"]
+
+
+def test_only_classes_of_the_settings_are_counted():
+    """A class name that a caller made up was kept for good, and listed to the front."""
+    counters = Counters(["voice"])
+    counters.count_for_class("failed", "made-up")
+    assert not any("made-up" in line for line in counters.metric_lines(0, 0, 0))
