The state of a call server moves to a module of its own, network/peer.py

Peer and WaitingSetUp are moved as they were; Peer is generic in the type of its connections, since the module of that type imports this one.

--- a/canvasplank/network/peer_table.py
+++ b/canvasplank/network/peer_table.py
@@ -10,9 +10,10 @@
 from canvasplank import interface as api
 from canvasplank.config.discovery_events import Endpoint, to_server
 from canvasplank.exchange.exchange import Exchange
+from canvasplank.network.peer import SILENCE_TIMEOUT_MS, Peer
 from canvasplank.network.reconnect_backoff import ReconnectBackoff
 from canvasplank.network.server_connections import ServerConnections
-from canvasplank.network.server_stream import SILENCE_TIMEOUT_MS, Peer, ServerStream
+from canvasplank.network.server_stream import ServerStream
 
 MIN_RECONNECT_DELAY_MS, MAX_RECONNECT_DELAY_MS = 50.0, 800.0
 GONE_CHECK_INTERVAL_MS = 250.0  # between checks of a gone server that still sends
@@ -102,9 +103,9 @@
             peer.state = server.state
         self._connections.connect(peer)
 
-    def _add(self, server: api.Server, address: str) -> Peer:
+    def _add(self, server: api.Server, address: str) -> Peer[ServerStream]:
         backoff = ReconnectBackoff(self._scheduler, MIN_RECONNECT_DELAY_MS, MAX_RECONNECT_DELAY_MS)
-        peer = Peer(server.id, address, server.state, server.started_ms, backoff)
+        peer: Peer[ServerStream] = Peer(server.id, address, server.state, server.started_ms, backoff)
         peer.last_received_ms = self._scheduler.now_ms
         if self._endpoint_filter is not None:
             peer.connect_after_ms = self._scheduler.now_ms + self._endpoint_filter.initial_delay_ms()
@@ -128,16 +129,16 @@
             self._connections.withdraw_set_ups(peer)
         self._connections.connect(peer)
 
-    def _connections_before(self, peer: Peer, started_ms: float | None) -> list[ServerStream]:
+    def _connections_before(self, peer: Peer[ServerStream], started_ms: float | None) -> list[ServerStream]:
         """Return connections made before a process start; before now if its time is unknown."""
         return [s for s in peer.streams if s.connected_ms < (started_ms or self._scheduler.now_ms)]
 
-    def _on_restarted(self, peer: Peer) -> None:
+    def _on_restarted(self, peer: Peer[ServerStream]) -> None:
         """Handle a new process under the same id: the old calls have ended, the old connections are dead."""
         self._connections.abort(self._connections_before(peer, peer.started_ms))
         self._exchange.process_ended(peer.server_id, peer.started_ms or self._scheduler.now_ms)
 
-    def _deselect(self, peer: Peer) -> None:
+    def _deselect(self, peer: Peer[ServerStream]) -> None:
         """End the connections to a server that is no longer selected and holds no call of this proxy."""
         del self._peers[peer.server_id]
         self._connections.fail_connecting(peer, "no longer selected for this proxy")
@@ -145,7 +146,7 @@
         for stream in list(peer.streams):
             stream.close_writing()
 
-    def _on_gone(self, peer: Peer) -> None:
+    def _on_gone(self, peer: Peer[ServerStream]) -> None:
         """Remove a server that has stopped; while it still sends, it can release its calls itself."""
         peer.state = api.ServerState.GONE
         self._connections.withdraw_set_ups(peer)
@@ -159,6 +160,6 @@
         peer.stop_waiting_for_releases()
         self._exchange.process_ended(peer.server_id, float("inf"))
 
-    def _check_gone(self, peer: Peer) -> None:
+    def _check_gone(self, peer: Peer[ServerStream]) -> None:
         if self._peers.get(peer.server_id) is peer and peer.state is api.ServerState.GONE:
             self._on_gone(peer)
--- a/canvasplank/network/server_connections.py
+++ b/canvasplank/network/server_connections.py
@@ -11,7 +11,8 @@
 from canvasplank.config.platform_settings import ConnectionLimits
 from canvasplank.exchange.exchange import Exchange
 from canvasplank.network.ended_connection import EndedConnections, EndedStream
-from canvasplank.network.server_stream import MAX_SILENCE_TIMEOUT_MS, Peer, ServerStream
+from canvasplank.network.peer import Peer
+from canvasplank.network.server_stream import MAX_SILENCE_TIMEOUT_MS, ServerStream
 from canvasplank.network.stream import BufferBudget
 
 LOG = logging.getLogger(__name__)
@@ -47,7 +48,8 @@
         self.on_message = on_message
         self.on_message_after_end = on_message_after_end
         self.disconnecting = False
-        self.peers: dict[str, Peer] = {}  # by server id: listed servers, and gone ones that still send
+        # By server id: listed servers, and gone ones that still send.
+        self.peers: dict[str, Peer[ServerStream]] = {}
         self._scheduler = exchange.scheduler
         self._limits = limits
         self._resend_ms = resend_ms or DEFAULT_RESEND_MS
@@ -76,11 +78,11 @@
         for stream in [s for peer in self.peers.values() for s in peer.streams]:
             stream.close_writing()
 
-    def is_listed(self, peer: Peer) -> bool:
+    def is_listed(self, peer: Peer[ServerStream]) -> bool:
         """Whether this is the current entry of its server, and the server is not gone."""
         return self.peers.get(peer.server_id) is peer and peer.state is not api.ServerState.GONE
 
-    def connect(self, peer: Peer, *, requested: bool = False) -> None:
+    def connect(self, peer: Peer[ServerStream], *, requested: bool = False) -> None:
         """Start a current connection if there is none; not before ``connect_after_ms``, unless requested.
 
         The delay keeps hundreds of proxies that start together from connecting to a server at once.
@@ -95,7 +97,7 @@
             self._limits.connect_timeout_ms, lambda reason: self._on_connection_failed(stream, reason)
         )
 
-    def renew(self, peer: Peer) -> None:
+    def renew(self, peer: Peer[ServerStream]) -> None:
         """Open another connection, which replaces the current one once it is established.
 
         A server sends releases that no process has confirmed again on the next connection that is opened.
@@ -106,12 +108,12 @@
         stream.renews_current = True
         stream.connect(self._limits.connect_timeout_ms, lambda _reason: stream.cancel_connecting())
 
-    def fail_connecting(self, peer: Peer, reason: str) -> None:
+    def fail_connecting(self, peer: Peer[ServerStream], reason: str) -> None:
         """Cancel the current connection attempt, if there is one, and report ``reason`` for its failure."""
         if peer.current is not None and peer.current.connecting is not None:
             self._on_connection_failed(peer.current, reason)
 
-    def replace_current(self, peer: Peer, reason: str) -> None:
+    def replace_current(self, peer: Peer[ServerStream], reason: str) -> None:
         """Use another connection for new set-ups; open set-ups stay on the old one."""
         current, peer.current = peer.current, None
         if current is not None and current.connecting is not None:
@@ -123,7 +125,7 @@
             stream.abort()
             self.on_disconnected(stream)
 
-    def withdraw_set_ups(self, peer: Peer) -> None:
+    def withdraw_set_ups(self, peer: Peer[ServerStream]) -> None:
         """Withdraw set-ups that wait for a connection or are unsent: no new one may arrive (rule 3)."""
         streams = list(peer.streams)
         if peer.current is not None and peer.current not in streams:
@@ -207,15 +209,17 @@
         peer.stop_waiting_for_releases()
         self._reconnect_later(peer)
 
-    def _end_attempt(self, peer: Peer, call_id: str, attempt: int, outcome: api.Outcome) -> None:
+    def _end_attempt(
+        self, peer: Peer[ServerStream], call_id: str, attempt: int, outcome: api.Outcome
+    ) -> None:
         self.exchange.on_attempt_ended(peer.server_id, call_id, attempt, outcome)
 
-    def _reconnect_later(self, peer: Peer) -> None:
+    def _reconnect_later(self, peer: Peer[ServerStream]) -> None:
         """Connect again after the backoff's delay, if the server is still listed then."""
         if peer.current is None:
             peer.backoff.schedule(lambda: self._connect_if_listed(peer))
 
-    def _connect_if_listed(self, peer: Peer) -> None:
+    def _connect_if_listed(self, peer: Peer[ServerStream]) -> None:
         if self.is_listed(peer):
             self.connect(peer)
 
@@ -236,12 +240,12 @@
             self._close_superseded(peer)
         self._schedule_check()
 
-    def _check_messages(self, peer: Peer) -> None:
+    def _check_messages(self, peer: Peer[ServerStream]) -> None:
         timeout_ms = MESSAGE_TIMEOUT_FRACTION * self._resend_ms
         for stream in [s for s in peer.streams if s.is_message_overdue(timeout_ms)]:
             stream.abort_unreadable(f"a message was not completed within {timeout_ms:.0f} ms")
 
-    def _check_current(self, peer: Peer) -> None:
+    def _check_current(self, peer: Peer[ServerStream]) -> None:
         """Replace the current connection if it is silent or hung, but leave it open for late messages.
 
         A hung connection does not mean a hung server: further set-ups on it would fail, and exclude a healthy
@@ -259,7 +263,7 @@
             current.on_replaced()
             peer.resend_unconfirmed(current)
 
-    def _close_superseded(self, peer: Peer) -> None:
+    def _close_superseded(self, peer: Peer[ServerStream]) -> None:
         """Close replaced connections on which no more messages are expected."""
         if peer.current is None or not peer.current.is_open:
             return
--- a/canvasplank/network/server_stream.py
+++ b/canvasplank/network/server_stream.py
@@ -1,4 +1,4 @@
-"""A connection to a call server (``ServerStream``) and the state kept for each server (``Peer``).
+"""A connection to a call server.
 
 Times are in milliseconds, on the scheduler's clock.
 """
@@ -6,138 +6,21 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from functools import partial
-from typing import NamedTuple
 
-from canvasplank import interface as api
 from canvasplank.codecs import sip
 from canvasplank.codecs.errors import BadMessageError
 from canvasplank.codecs.q850 import ReleaseCause
 from canvasplank.codecs.sip_recovery import MessageFinder
-from canvasplank.exchange.call_records import CallRecord
 from canvasplank.network.connection_attempt import ConnectionAttempt
 from canvasplank.network.ended_connection import EndedStream, duplicate, reset_if_delivered
-from canvasplank.network.reconnect_backoff import ReconnectBackoff
-from canvasplank.network.release_retransmission import (
-    CONFIRMATION_WINDOW_MS,
-    PendingRelease,
-    UnconfirmedReleases,
-)
+from canvasplank.network.peer import SILENCE_TIMEOUT_MS, Peer, WaitingSetUp
+from canvasplank.network.release_retransmission import UnconfirmedReleases
 from canvasplank.network.server_stream_owner import ServerStreamOwner
 from canvasplank.network.stream import Stream
 
-SILENCE_TIMEOUT_MS = 2500.0  # a server that reports its circuits may be cut off after so long a silence
 MAX_SILENCE_TIMEOUT_MS = 20_000.0  # the timeout doubles up to this for servers that report less often
 IGNORED_INITIAL_REPORTS = 2  # of a connection: the interval between them says nothing about later ones
-MAX_PENDING_RELEASES = 10_000  # for a server that cannot be reached
-
-
-class WaitingSetUp(NamedTuple):
-    """A set-up that waits for a connection to be established."""
-
-    call: CallRecord
-    attempt: int
-    until_ms: float  # the deadline of the attempt
-
-
-@dataclass(slots=True)
-class Peer:
-    """A call server: its entry in the endpoint list, its connections and the releases due to it."""
-
-    server_id: str
-    address: str
-    state: api.ServerState
-    started_ms: float | None  # when the server process started; None: unknown
-    backoff: ReconnectBackoff
-    current: ServerStream | None = None  # carries the next message; it may still be connecting
-    last_received_ms: float = 0.0  # when data was last read or a connection was last established
-    reports_circuits: bool = False  # whether the server has ever reported its circuits
-    silence_timeout_ms: float = SILENCE_TIMEOUT_MS
-    streams: list[ServerStream] = field(default_factory=list)  # all established connections
-    pending_releases: dict[str, PendingRelease] = field(default_factory=dict)  # for the next connection
-    # By call: callbacks that report the end of an attempt once the server has abandoned its set-up.
-    pending_end_reports: dict[str, Callable[[], None]] = field(default_factory=dict)
-    connect_after_ms: float = 0.0  # no connection is made before this time, unless a set-up needs one
-
-    def send_release(self, call_id: str, cause: int, on_sent: Callable[[], None] | None = None) -> None:
-        """Write a release to the current connection, or store it for the next."""
-        if self.current is not None and self.current.is_open:
-            self.current.send_release(call_id, cause, on_sent)
-        elif on_sent is None and call_id in self.pending_releases:
-            pass  # keep the stored release: something may wait for it to be sent
-        elif len(self.pending_releases) < MAX_PENDING_RELEASES:
-            self.pending_releases[call_id] = PendingRelease(cause, on_sent)
-        elif on_sent is not None:
-            on_sent()
-
-    def report_attempt_end(self, call_id: str) -> None:
-        """Report the end of an attempt that the server has abandoned, unless it was reported before."""
-        report = self.pending_end_reports.pop(call_id, None)
-        if report is not None:
-            report()
-
-    def stop_waiting_for_releases(self) -> None:
-        """Call the ``on_sent`` callbacks of pending releases: no connection comes up for now to send them."""
-        waited_for = [(call_id, each) for call_id, each in self.pending_releases.items() if each.on_sent]
-        for call_id, pending in waited_for:
-            self.pending_releases[call_id] = PendingRelease(pending.cause)
-            if pending.on_sent is not None:
-                pending.on_sent()
-
-    def take_pending_releases(self) -> list[tuple[str, PendingRelease]]:
-        """Remove and return the releases that waited for a connection, with their call ids."""
-        pending = list(self.pending_releases.items())
-        self.pending_releases.clear()
-        return pending
-
-    def release_recently_cancelled(self) -> None:
-        """Release cancelled attempts whose answer may arrive after this process has stopped reading."""
-        for stream in self.streams:
-            since_ms = stream.last_received_ms - CONFIRMATION_WINDOW_MS
-            for call_id, cause in stream.cancelled.take_sent_after(since_ms):
-                carrier = self.current if self.current is not None and self.current.is_open else stream
-                carrier.send_release(call_id, cause)
-
-    def mark_settled(self, call_id: str) -> None:
-        """Record that the server has released this call or confirmed its release, so sends no more for it."""
-        for stream in self.streams:
-            stream.cancelled.pop(call_id, None)
-
-    def unsettled_calls(self) -> dict[str, int]:
-        """Return the release causes, by call, of cancelled or released calls that the server may still hold.
-
-        Either nothing was read on the connection since, or the release has not been sent yet.
-        """
-        unsettled = {call_id: pending.cause for call_id, pending in self.pending_releases.items()}
-        for stream in self.streams:
-            for call_id in stream.cancelled.sent_after(stream.last_received_ms):
-                unsettled[call_id] = stream.cancelled[call_id].cause
-        return unsettled
-
-    def release_cancelled_after_disconnect(self, stream: ServerStream) -> None:
-        """Release calls that were cancelled on an ended connection after data was last read there."""
-        for call_id, cause in stream.cancelled.take_sent_after(stream.last_received_ms):
-            if self.current is not None and self.current.is_open:
-                self.current.release_unsettled(call_id, cause)
-            else:
-                self.send_release(call_id, cause)
-
-    def resend_unconfirmed(self, stream: ServerStream) -> None:
-        """Send again releases that the server may not have read on a connection that is no longer current."""
-        since_ms = stream.last_received_ms - CONFIRMATION_WINDOW_MS
-        for call_id, cause in stream.unconfirmed.take_sent_after(since_ms):
-            self.send_release(call_id, cause)
-
-    def has_attempt(self, call_id: str) -> bool:
-        """Whether a call is established at this server, or a set-up of it is unanswered or waiting."""
-        streams = [*self.streams, self.current] if self.current is not None else self.streams
-        return any(call_id in each for s in streams for each in (s.open_set_ups, s.waiting, s.established))
-
-    def remove_established(self, call_id: str) -> None:
-        """Record that a call is no longer established at this server."""
-        for stream in self.streams:
-            stream.established.discard(call_id)
 
 
 def _discard_response(data: bytes) -> None:
@@ -147,7 +30,7 @@
 class ServerStream(Stream[sip.Message]):
     """A connection to a call server, with the set-ups and calls that it carries."""
 
-    def __init__(self, owner: ServerStreamOwner[ServerStream], peer: Peer) -> None:
+    def __init__(self, owner: ServerStreamOwner[ServerStream], peer: Peer[ServerStream]) -> None:
         label = f"server {peer.server_id} {peer.address}"
         self._sip_parser = sip.Parser()
         super().__init__(owner.exchange.scheduler, label, self._sip_parser, owner.budget)
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -17,11 +17,12 @@
 from canvasplank.config.platform_settings import ConnectionLimits, LoadReportReader
 from canvasplank.exchange.call_records import CallRecord
 from canvasplank.exchange.exchange import Exchange
+from canvasplank.network.peer import WaitingSetUp
 from canvasplank.network.peer_table import EndpointFilter, PeerTable
 from canvasplank.network.release_retransmission import CONFIRMATION_WINDOW_MS
 from canvasplank.network.server_connections import ServerConnections
 from canvasplank.network.server_messages import parse_gauges, parse_refusal
-from canvasplank.network.server_stream import ServerStream, WaitingSetUp
+from canvasplank.network.server_stream import ServerStream
 from canvasplank.network.stream import BufferBudget
 
 OK, MULTIPLE_CHOICES = 200, 300  # RFC 3261 21
--- a/tests/test_ended_connections.py
+++ b/tests/test_ended_connections.py
@@ -18,8 +18,9 @@
 from canvasplank.codecs import sip
 from canvasplank.config.discovery_events import Endpoint
 from canvasplank.network.ended_connection import MAX_OPEN_MS, MAX_READ_BYTES, MAX_UNREADABLE_MS, QUIET_MS
+from canvasplank.network.peer import Peer
 from canvasplank.network.peer_table import MIN_RECONNECT_DELAY_MS
-from canvasplank.network.server_stream import Peer, ServerStream
+from canvasplank.network.server_stream import ServerStream
 from canvasplank.network.stream import LINGER_MS, MAX_UNSENT_BYTES
 
 SERVER = "s-a"
--- a/tests/test_project_rules.py
+++ b/tests/test_project_rules.py
@@ -180,6 +180,7 @@
     "network.reconnect_backoff",
     "network.listener",
     "network.release_retransmission",
+    "network.peer",
     "network.caller_drain",
     "network.caller_stream",
     "network.caller_pool",
@@ -259,6 +260,7 @@
     f"network.{name}"
     for name in (
         "ended_connection",
+        "peer",
         "peer_table",
         "server_connections",
         "server_messages",
