Calls of a server that has gone are released where a new one has its address

What callers saw: calls that had ended with their call server were never released, as long as the new server ran.

Cause: after the reset the proxy connects to the address again for the old instanceId and reaches the new process. When the list says that the old server is gone, PeerTable._on_gone waits while it still sends: what came there every second were the new server's reports. Nothing in the protocol names the process that answers at an address.

Ruled out: with the old connection left open and silent the old code released them after 2.3 to 2.6 s.

Why this works: a process that ends resets its connections and refuses new ones. A connection made after such a sign no longer counts as a sign of life of a server that is gone; one that has lasted since before does, as ever.

Related: a release that the new server wrote on a connection of the old one was confirmed and dropped (its test failed before).

--- a/canvasplank/network/peer.py
+++ b/canvasplank/network/peer.py
@@ -72,6 +72,9 @@
     # By call: callbacks that report the end of an attempt once the server has abandoned its set-up.
     pending_end_reports: dict[str, Callable[[], None]] = field(default_factory=dict)
     connect_after_ms: float = 0.0  # no connection is made before this time, unless a set-up needs one
+    # Whether a connection was lost or not established since the listed process was known to run.  Another
+    # process may have taken the address then, and nothing in the protocol tells which one answers there.
+    may_be_replaced: bool = False
 
     def send_release(self, call_id: str, cause: int, on_sent: Callable[[], None] | None = None) -> None:
         """Write a release to the current connection, or store it for the next."""
--- a/canvasplank/network/peer_table.py
+++ b/canvasplank/network/peer_table.py
@@ -94,6 +94,7 @@
         elif entry.host_port != peer.address:
             peer.address = entry.host_port
             self._connections.replace_current(peer, "the server's address has changed")
+            peer.may_be_replaced = False
         elif server.started_ms != peer.started_ms and peer.current in self._connections_before(
             peer, server.started_ms
         ):
@@ -136,6 +137,9 @@
     def _on_restarted(self, peer: Peer[ServerStream]) -> None:
         """Handle a new process under the same id: the old calls have ended, the old connections are dead."""
         self._connections.abort(self._connections_before(peer, peer.started_ms))
+        peer.may_be_replaced = False
+        for stream in peer.streams:
+            stream.may_be_replaced = False
         self._exchange.process_ended(peer.server_id, peer.started_ms or self._scheduler.now_ms)
 
     def _deselect(self, peer: Peer[ServerStream]) -> None:
@@ -150,8 +154,7 @@
         """Remove a server that has stopped; while it still sends, it can release its calls itself."""
         peer.state = api.ServerState.GONE
         self._connections.withdraw_set_ups(peer)
-        now_ms = self._scheduler.now_ms
-        if any(s.is_open and now_ms - s.last_received_ms < SILENCE_TIMEOUT_MS for s in peer.streams):
+        if any(self._still_sends(stream) for stream in peer.streams):
             self._scheduler.call_later(GONE_CHECK_INTERVAL_MS, lambda: self._check_gone(peer))
             return
         self._peers.pop(peer.server_id, None)
@@ -160,6 +163,11 @@
         peer.stop_waiting_for_releases()
         self._exchange.process_ended(peer.server_id, float("inf"))
 
+    def _still_sends(self, stream: ServerStream) -> bool:
+        """Whether something was just read there, on a connection that leads to no later process."""
+        silent_ms = self._scheduler.now_ms - stream.last_received_ms
+        return stream.is_open and not stream.may_be_replaced and silent_ms < SILENCE_TIMEOUT_MS
+
     def _check_gone(self, peer: Peer[ServerStream]) -> None:
         if self._peers.get(peer.server_id) is peer and peer.state is api.ServerState.GONE:
             self._on_gone(peer)
--- a/canvasplank/network/server_connections.py
+++ b/canvasplank/network/server_connections.py
@@ -162,6 +162,7 @@
         if stream not in peer.streams:
             return
         peer.streams.remove(stream)
+        peer.may_be_replaced |= stream.ended_by_server
         if peer.current is stream:
             peer.current = None
         peer.release_cancelled_after_disconnect(stream)
@@ -199,6 +200,7 @@
         """Report NO_CONNECTION for the set-ups that waited for a connection that was not established."""
         peer = stream.peer
         stream.cancel_connecting()
+        peer.may_be_replaced = True
         if peer.current is stream:
             peer.current = None
         if peer.backoff.failures == 0:
@@ -258,6 +260,7 @@
         if silent and not current.open_set_ups:
             # Without this, a server that reports less often would get a new connection every time.
             peer.silence_timeout_ms = min(MAX_SILENCE_TIMEOUT_MS, 2 * peer.silence_timeout_ms)
+        peer.may_be_replaced |= silent
         if silent or (current.is_open and current.is_hung(self._resend_ms)):
             self.exchange.counters.add("sockets.servers_quiet")
             current.on_replaced()
--- a/canvasplank/network/server_stream.py
+++ b/canvasplank/network/server_stream.py
@@ -46,6 +46,7 @@
         self.connecting: ConnectionAttempt | None = None
         self.renews_current = False  # whether it replaces the peer's current connection once established
         self.connected_ms = self.scheduler.now_ms
+        self.may_be_replaced = False  # the peer's, when this connection was established
         self._reported_ms = -1.0  # when the circuits were last reported on this connection
         self._report_count = 0
         self._used_since_replaced = False  # whether data was read since another connection became current
@@ -71,6 +72,7 @@
         """See ``Stream``."""
         self.connected_ms = self.scheduler.read_clock()  # compared with process starts: must not lag
         self.peer.last_received_ms = self.scheduler.now_ms
+        self.may_be_replaced = self.peer.may_be_replaced
         self.connecting = None
         self._owner.on_connected(self)
 
@@ -271,6 +273,11 @@
         in_use = self._used_since_replaced and self.scheduler.now_ms - self.last_used_ms < idle_ms
         return not self.open_set_ups and not (self.established and in_use)
 
+    @property
+    def ended_by_server(self) -> bool:
+        """Whether the server ended the connection first, as a process that ends does."""
+        return not (self.writing_closed or self._keeps_reading or self.unreadable)
+
     @property
     def ended_unreadably(self) -> bool:
         """Whether it ended within a message or because of a bad one, so that an answer may be lost."""
--- a/canvasplank/network/servers.py
+++ b/canvasplank/network/servers.py
@@ -218,7 +218,21 @@
         stream.peer.mark_settled(message.call_id)
         cause = ReleaseCause.NORMAL_CLEARING if message.cause is None else message.cause
         report = self._load_reports.report(parse_gauges(message))
-        self.exchange.on_released_by_server(stream.peer.server_id, message.call_id, cause, report, confirm)
+        server_id = self._releasing_server(stream, message.call_id)
+        self.exchange.on_released_by_server(server_id, message.call_id, cause, report, confirm)
+
+    def _releasing_server(self, stream: ServerStream, call_id: str) -> str:
+        """Return the id of the server that releases a call on this connection.
+
+        A connection of a server that has ended may lead to another one, which has taken its address and is
+        listed under an id of its own.  That one releases its calls on any of its connections.
+        """
+        if stream.may_be_replaced:
+            for peer in self._peers.values():
+                same_address = peer.address == stream.peer.address
+                if same_address and self.exchange.is_established_at(call_id, peer.server_id):
+                    return peer.server_id
+        return stream.peer.server_id
 
     def _on_response(self, stream: ServerStream, message: sip.Message) -> None:
         if message.method == "BYE":
--- a/emulators/server.py
+++ b/emulators/server.py
@@ -90,6 +90,7 @@
     _releases_to_repeat: dict[str, str] = field(default_factory=dict)
     _listeners: list[asyncio.Server] = field(default_factory=list)
     _tasks: Tasks = field(default_factory=Tasks)
+    _address: str = ""  # of the first listener
 
     async def start(self) -> None:
         """Start the processor, and listen on a free port for proxies without an address of their own."""
@@ -98,19 +99,26 @@
 
     @property
     def address(self) -> str:
-        """The shared ``host:port``, for proxies without an address of their own."""
-        return _address(self._listeners[0])
+        """The shared ``host:port``, for proxies without an address of their own, also after ``stop``."""
+        return self._address
 
     async def address_for(self, proxy: str) -> str:
         """Listen on another free port for one proxy, and return the ``host:port``."""
         return _address(await self._listen(proxy))
 
-    async def _listen(self, proxy: str) -> asyncio.Server:
+    async def start_at(self, address: str) -> None:
+        """The same as ``start``, at an address that no other server uses any more."""
+        host, _, port = address.rpartition(":")
+        await self._listen(UNIDENTIFIED_PROXY, host, int(port))
+        self._tasks.keep(self._process())
+
+    async def _listen(self, proxy: str, host: str = "127.0.0.1", port: int = 0) -> asyncio.Server:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             self._proxies[writer] = proxy
             await self._serve(reader, writer)
 
-        self._listeners.append(await asyncio.start_server(serve, "127.0.0.1", 0))
+        self._listeners.append(await asyncio.start_server(serve, host, port))
+        self._address = self._address or _address(self._listeners[0])
         return self._listeners[-1]
 
     async def stop(self) -> None:
@@ -119,6 +127,12 @@
             listener.close()
         await self._tasks.end()
 
+    async def die(self) -> None:
+        """Emulate the end of the process: all connections are reset, and all calls end."""
+        for writer in self._writers:
+            writer.transport.abort()
+        await self.stop()
+
     async def start_cold(self, fraction: float, warm_up_s: float) -> None:
         """Emulate a restart: ``speed`` rises linearly from ``fraction`` to 1 within ``warm_up_s`` seconds."""
         self.started_ms, start_s = time.time() * MS_PER_S, time.monotonic()
