One client's messages no longer hold up everybody's: allowances, turns, bounded time

What callers saw: final answers seconds after the deadline, or none, while other clients sent at full speed.

Cause: nothing bounded one client's work. An iteration went on for 16 polls while each brought input, a poll handled 16 KiB of every connection, and no timer ran meanwhile. A release of an unknown call goes to every call server, without a bound. A set-up that is released at once takes what its server admits. A message of 16 KiB of empty parameters took 3.5 ms, and what a connection had sent was handled at once when it ended.

Change: past its allowance, which grows with time and with each call that is established, a connection's messages are handled in turns with those of all such connections, 10 ms in each poll; it is not read meanwhile. New set-ups past a limit of their connection are refused, releases of unknown calls past theirs end it; both are counted. An iteration takes in input for 100 ms at most. Ruled out: one poll an iteration (not enough with 300 clients), shares of time by connection (a busy usual one would starve).

No time bound of an existing test has changed.

--- a/canvasplank/codecs/isup.py
+++ b/canvasplank/codecs/isup.py
@@ -16,6 +16,7 @@
 _LENGTH = struct.Struct(">H")
 _HEADER = struct.Struct(">HB8s")  # length, type, call
 _PARAMETER = struct.Struct(">BH")
+MAX_PARAMETERS = 64  # of a message; no message of the protocol has more than 8
 _MIN_LENGTH = _HEADER.size - _LENGTH.size  # type and call
 
 
@@ -98,25 +99,53 @@
 
     def feed(self, data: bytes | memoryview) -> Iterator[Message]:
         """Yield the messages that these bytes complete; raises ``BadMessageError``."""
+        self.append(data)
+        while (message := self.next_message()) is not None:
+            yield message
+
+    def append(self, data: bytes | memoryview) -> None:
+        """Store bytes for ``next_message``."""
         self._buffer += data
-        while len(self._buffer) >= _LENGTH.size:
-            (length,) = _LENGTH.unpack_from(self._buffer)
-            size = length + _LENGTH.size
-            if length < _MIN_LENGTH or size > MAX_MESSAGE_BYTES:
-                max_length = MAX_MESSAGE_BYTES - _LENGTH.size
-                raise BadMessageError(f"length {length} is not between {_MIN_LENGTH} and {max_length}")
-            if len(self._buffer) < size:
-                return
-            raw = bytes(self._buffer[:size])
-            del self._buffer[:size]
-            yield _decode(raw)
+
+    def next_message(self) -> Message | None:
+        """Remove and return the next message, None if it is incomplete; raises ``BadMessageError``."""
+        size = self._next_size()
+        if size is None or len(self._buffer) < size:
+            return None
+        raw = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        return _decode(raw)
+
+    @property
+    def has_message(self) -> bool:
+        """Whether ``next_message`` would return a message or raise an error."""
+        try:
+            size = self._next_size()
+        except BadMessageError:
+            return True
+        return size is not None and len(self._buffer) >= size
+
+    def _next_size(self) -> int | None:
+        """Return the size of the next message, None if not known yet; raises ``BadMessageError``."""
+        if len(self._buffer) < _LENGTH.size:
+            return None
+        (length,) = _LENGTH.unpack_from(self._buffer)
+        size: int = length + _LENGTH.size
+        if length < _MIN_LENGTH or size > MAX_MESSAGE_BYTES:
+            max_length = MAX_MESSAGE_BYTES - _LENGTH.size
+            raise BadMessageError(f"length {length} is not between {_MIN_LENGTH} and {max_length}")
+        return size
 
 
 def _decode(raw: bytes) -> Message:
     _, kind, call = _HEADER.unpack_from(raw)
     parameters: dict[int, bytes] = {}
     offset = _HEADER.size
+    count = 0
     while offset < len(raw):
+        count += 1
+        if count > MAX_PARAMETERS:
+            raise BadMessageError(f"more than {MAX_PARAMETERS} parameters")
         if offset + _PARAMETER.size > len(raw):
             raise BadMessageError(f"parameter at byte {offset} is truncated")
         code, length = _PARAMETER.unpack_from(raw, offset)
--- a/canvasplank/exchange/exchange.py
+++ b/canvasplank/exchange/exchange.py
@@ -124,6 +124,12 @@
         call.taken_ms = self.scheduler.now_ms
         self._answers.reject_untracked(call, FinalAnswer.INVALID)
 
+    def reject_over_limit(self, call: CallRecord) -> None:
+        """Reject a new set-up of a caller that sends too many, without the decision module."""
+        self.counters.add("answered.over_caller_limit")
+        call.taken_ms = self.scheduler.now_ms
+        self._answers.reject_untracked(call, FinalAnswer.REFUSED)
+
     def on_released_by_caller(self, call_id: str, cause: int) -> None:
         """Handle a release by the caller of an established call, or of an open call, which it abandons."""
         if (call := self._table.open.get(call_id)) is not None:
@@ -229,6 +235,10 @@
         """Handle the end of a probe, answered or not."""
         self._dispatcher.dispatch(api.ProbeAnswered(server_id, answered, report))
 
+    def knows(self, call_id: str) -> bool:
+        """Return whether a call with this id is open, established, or among those that ended last."""
+        return self._table.find(call_id) is not None or self._table.has_ended(call_id)
+
     def is_established_at(self, call_id: str, server_id: str) -> bool:
         """Return whether this call is established at this server."""
         call = self._table.established.get(call_id)
--- a/canvasplank/network/caller_stream.py
+++ b/canvasplank/network/caller_stream.py
@@ -8,9 +8,20 @@
 from canvasplank.codecs import isup
 from canvasplank.exchange.exchange import Exchange
 from canvasplank.network.caller_drain import RECENT_SET_UP_MS, DrainPhase
+from canvasplank.network.deferred_input import DeferredInput
 from canvasplank.network.release_retransmission import ReleaseHandling, UnconfirmedReleases
 from canvasplank.network.stream import BufferBudget, Stream
-
+from canvasplank.network.token_bucket import TokenBucket
+
+# Messages of a connection that are handled as they are read; further ones are deferred (``DeferredInput``).
+INITIAL_MESSAGES, MESSAGES_PER_S, MAX_MESSAGES = 20.0, 20.0, 400.0
+MESSAGES_PER_ANSWER = 4.0  # added for each established call: its set-up, its release, and as many sent again
+# New set-ups of a connection; further ones are refused.  A caller whose calls are established has more.
+SET_UPS_PER_S, MAX_SET_UPS = 50.0, 400.0
+SET_UPS_PER_ANSWER = 2.0
+MAX_MESSAGES_AT_END = 32  # deferred ones that are handled when their connection ends; the rest is dropped
+# Releases of calls that nobody knows: each is passed on to every call server.
+UNKNOWN_RELEASES_PER_S, MAX_UNKNOWN_RELEASES = 100.0, 400.0
 MESSAGE_TIMEOUT_MS = 2000.0  # for the first complete message, and for the rest of a started one
 # A caller's disconnect is detected after two intervals, so that its call is not forwarded 0.3 s after it.
 HALF_CLOSED_PROBE_INTERVAL_MS = 100.0
@@ -28,6 +39,7 @@
 
     exchange: Exchange
     budget: BufferBudget
+    deferred_input: DeferredInput
 
     @property
     def releases(self) -> ReleaseSender:
@@ -51,8 +63,14 @@
     """A connection from callers, with the set-ups and calls that it carries."""
 
     def __init__(self, owner: CallerStreamOwner) -> None:
-        super().__init__(owner.exchange.scheduler, "caller", isup.Parser(), owner.budget)
+        self._isup_parser = isup.Parser()
+        super().__init__(owner.exchange.scheduler, "caller", self._isup_parser, owner.budget)
         self._owner = owner
+        now_ms = self.scheduler.now_ms
+        self._allowance = TokenBucket(MESSAGES_PER_S, MAX_MESSAGES, now_ms, INITIAL_MESSAGES)
+        self.set_up_allowance = TokenBucket(SET_UPS_PER_S, MAX_SET_UPS, now_ms)
+        self.unknown_releases = TokenBucket(UNKNOWN_RELEASES_PER_S, MAX_UNKNOWN_RELEASES, now_ms)
+        self._is_deferred = False  # whether complete messages are kept for later turns
         self.open_set_ups: set[str] = set()  # ids of the unanswered set-ups received here
         self.half_closed = False  # whether the caller has closed its side
         self.has_received_message = False  # whether a complete message was received
@@ -72,15 +90,71 @@
 
     def on_received(self, data: memoryview) -> None:
         """See ``Stream``."""
-        for message in self.messages(data):
-            self.has_received_message = True
-            self._owner.on_message(self, message)
+        if not self._isup_parser.in_message:
+            self.message_started_ms = self.scheduler.now_ms
+        self._isup_parser.append(data)
+        if self._is_deferred:
+            return
+        while self._allowance.has_token(self.scheduler.now_ms) and self._handle_next_message():
+            pass
+        if self._isup_parser.has_message:
+            self._defer()
+
+    @property
+    def reads_after_reset(self) -> bool:
+        """See ``Stream``; a caller that had sent more than its allowance is not read after it has left."""
+        return not self._is_deferred
+
+    def _handle_next_message(self) -> bool:
+        """Handle the next message; return False if none is complete."""
+        message = self._isup_parser.next_message()
+        if message is None:
+            return False
+        self._allowance.take(self.scheduler.now_ms)
+        self.message_started_ms = self.scheduler.now_ms
+        self.has_received_message = True
+        self._owner.on_message(self, message)
+        return True
+
+    def _defer(self) -> None:
+        """Keep the messages that were read for later turns, and read no more until then."""
+        self._is_deferred = True
+        if self.transport is not None:
+            self.transport.pause_reading()
+        self._owner.deferred_input.add(self)
+
+    def handle_deferred(self, max_messages: int) -> bool:
+        """See ``DeferrableStream``; a peer that does not read gets its next turn once it has read."""
+        if self.transport is None or self.transport.is_closing() or self.is_writing_paused:
+            return False
+        self.handle(lambda: self._handle_messages(max_messages))
+        if self.transport.is_closing():
+            return False
+        if self._isup_parser.has_message:
+            return not self.is_writing_paused
+        self._is_deferred = False
+        if not self.is_writing_paused:
+            self.transport.resume_reading()
+        return False
+
+    def _handle_messages(self, max_messages: int) -> None:
+        for _ in range(max_messages):
+            if not self._handle_next_message():
+                return
+
+    def resume_writing(self) -> None:
+        """See ``Stream``; deferred messages come before what is read next."""
+        if not self._is_deferred:
+            super().resume_writing()
+            return
+        self.is_writing_paused = False
+        self._owner.deferred_input.add(self)
 
     @property
     def message_is_overdue(self) -> bool:
         """Whether the first message, or a started one, is still incomplete after ``MESSAGE_TIMEOUT_MS``."""
         since_ms = self.message_started_ms if self.has_received_message else self.created_ms
-        late = self.scheduler.now_ms - since_ms > MESSAGE_TIMEOUT_MS
+        late = self.scheduler.now_ms - since_ms > MESSAGE_TIMEOUT_MS and not self._is_deferred
         return late and not self.open_set_ups and (not self.has_received_message or self.parser.in_message)
 
     def eof_received(self) -> bool:
@@ -102,7 +176,10 @@
             self.scheduler.call_later(HALF_CLOSED_PROBE_INTERVAL_MS, self._probe_half_closed)
 
     def on_disconnected(self, error: Exception | None) -> None:
-        """See ``Stream``."""
+        """See ``Stream``; what was deferred may hold the release of an established call."""
+        if self._is_deferred and not self.unreadable:
+            self.handle(lambda: self._handle_messages(MAX_MESSAGES_AT_END))
+        self.parser.clear()
         self._owner.on_disconnected(self)
 
     def on_first_call_message(self) -> None:
@@ -121,6 +198,13 @@
         self.last_release = ReleaseHandling.CONFIRMED
         self.unconfirmed.pop(call_id, None)
 
+    def send_answer(self, call_id: str, data: bytes) -> None:
+        """Write the encoded answer (``data``) that a call is established."""
+        self.established.add(call_id)
+        self._allowance.add(MESSAGES_PER_ANSWER)
+        self.set_up_allowance.add(SET_UPS_PER_ANSWER)
+        self.send_final_answer(call_id, data)
+
     def send_final_answer(self, call_id: str, data: bytes) -> None:
         """Write the encoded final answer (``data``) to a set-up."""
         self.write(data)
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -15,10 +15,14 @@
 from canvasplank.network.caller_pool import CallerPool
 from canvasplank.network.caller_releases import CallerReleases
 from canvasplank.network.caller_stream import CallerStream
+from canvasplank.network.deferred_input import DeferredInput
 from canvasplank.network.listener import Listener
 from canvasplank.network.set_up_parser import is_within_bounds, parse_set_up, replace_unknown_names
 from canvasplank.network.stream import BufferBudget
+from canvasplank.network.token_bucket import TokenBucket
 
+# Releases of calls that nobody knows, of all connections together: as many as a restart under load may leave.
+UNKNOWN_RELEASES_PER_S, MAX_UNKNOWN_RELEASES = 400.0, 2000.0
 REJECTION_CAUSES = {
     FinalAnswer.REFUSED: ReleaseCause.SWITCHING_CONGESTION,
     FinalAnswer.FAILED: ReleaseCause.TEMPORARY_FAILURE,
@@ -49,6 +53,10 @@
         self._pool = CallerPool(exchange.scheduler, exchange.counters, sockets, idle_ms)
         self.streams = self._pool.streams  # oldest first
         self.releases = CallerReleases(exchange.scheduler, exchange.counters, self._pool)
+        self.deferred_input = DeferredInput(exchange.scheduler, exchange.counters)
+        self._unknown_releases = TokenBucket(
+            UNKNOWN_RELEASES_PER_S, MAX_UNKNOWN_RELEASES, exchange.scheduler.now_ms
+        )
         self._is_ready = is_ready
         self._listener: Listener | None = None
 
@@ -113,9 +121,7 @@
 
     def answer(self, origin: Hashable, call_id: str, description: bytes) -> None:
         """See ``CallerSide``."""
-        stream = cast(CallerStream, origin)
-        stream.established.add(call_id)
-        stream.send_final_answer(call_id, isup.answer(call_id, description))
+        cast(CallerStream, origin).send_answer(call_id, isup.answer(call_id, description))
 
     def reject(
         self, origin: Hashable, call_id: str, final: FinalAnswer, retry_after_ms: float | None
@@ -159,13 +165,12 @@
             stream.on_first_call_message()
             self.releases.send_pending(stream)
         match message.kind:
-            case isup.Kind.SET_UP if stream.writing_closed:
-                pass  # the caller had not seen our close, and sends the set-up again on a new connection
+            case isup.Kind.SET_UP if not stream.is_open:
+                pass  # its caller has left, or had not seen our close and sends it again on a new connection
             case isup.Kind.SET_UP:
                 self._on_set_up(stream, message)
             case isup.Kind.RELEASE:
-                self.exchange.on_released_by_caller(message.call_id, message.cause)
-                stream.write(isup.release_confirmed(message.call_id))
+                self._on_release(stream, message)
             case isup.Kind.RELEASE_CONFIRMED:
                 stream.on_release_confirmed(message.call_id)
                 self.releases.on_delivered(message.call_id)
@@ -176,6 +181,17 @@
             case _:
                 raise BadMessageError(f"message type {message.kind} is not expected from a caller")
 
+    def _on_release(self, stream: CallerStream, message: isup.Message) -> None:
+        now_ms = self.exchange.scheduler.now_ms
+        if not self.exchange.knows(message.call_id) and not (
+            stream.unknown_releases.take(now_ms) and self._unknown_releases.take(now_ms)
+        ):
+            # Each goes to every call server: at full speed they leave no time there, nor here, for calls.
+            self.exchange.counters.add("taken.releases_over_limit")
+            raise BadMessageError("too many releases of unknown calls")
+        self.exchange.on_released_by_caller(message.call_id, message.cause)
+        stream.write(isup.release_confirmed(message.call_id))
+
     def _on_set_up(self, stream: CallerStream, message: isup.Message) -> None:
         call = parse_set_up(stream, message, self._bounds, self.exchange.scheduler)
         new = call.id not in stream.open_set_ups
@@ -185,6 +201,9 @@
             replace_unknown_names(call, self._bounds)
             self.exchange.reject_invalid(call)
             return
+        if not self.exchange.knows(call.id) and not stream.set_up_allowance.take(stream.last_set_up_ms):
+            self.exchange.reject_over_limit(call)
+            return
         stream.has_set_up_calls = True
         stream.open_set_ups.add(call.id)
         if not self.exchange.offer(call, accept_new=self.drain_phase < DrainPhase.OVERDUE):
--- a/canvasplank/network/stream.py
+++ b/canvasplank/network/stream.py
@@ -102,6 +102,7 @@
         self.message_started_ms = scheduler.now_ms  # when the incomplete message, if any, started
         self.unreadable = False  # whether it was aborted for a bad message
         self.writing_closed = False  # whether it is closed for writing and only read from
+        self.is_writing_paused = False  # whether more is unsent than ``PAUSE_READING_UNSENT_BYTES``
         self._written_bytes = 0
         # Actions that wait until all bytes written before them are sent, each with the number of those bytes.
         self._on_sent: deque[tuple[int, Callable[[], None]]] = deque()
@@ -111,6 +112,11 @@
         """Whether the connection can still be written to."""
         return self.transport is not None and not self.writing_closed and not self.transport.is_closing()
 
+    @property
+    def reads_after_reset(self) -> bool:
+        """Whether data that had arrived before the peer reset the connection is still to be read."""
+        return True
+
     def on_connected(self) -> None:
         """Called when the connection is established."""
 
@@ -240,8 +246,12 @@
         """See asyncio; an error while reading ends only this connection."""
         self.scheduler.begin_iteration()
         self.last_received_ms = self.last_used_ms = self.scheduler.now_ms
+        self.handle(lambda: self.on_received(memoryview(self._buffer)[:nbytes]))
+
+    def handle(self, action: Callable[[], None]) -> None:
+        """Handle received messages; an error ends only this connection."""
         try:
-            self.on_received(memoryview(self._buffer)[:nbytes])
+            action()
             self.budget.update(self, self.buffered)
         except BadMessageError as error:
             self.abort_unreadable(str(error))
@@ -252,18 +262,20 @@
 
     def pause_writing(self) -> None:
         """See asyncio; pauses reading while the peer does not read."""
+        self.is_writing_paused = True
         if self.transport is not None and self.is_open:
             self.transport.pause_reading()
 
     def resume_writing(self) -> None:
         """See asyncio; resumes reading, also on a connection closed for writing, which is read to its end."""
+        self.is_writing_paused = False
         if self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """See asyncio, which closes the socket after this call."""
         self.scheduler.begin_iteration()
-        if exc is not None and self.transport is not None:
+        if exc is not None and self.transport is not None and self.reads_after_reset:
             with contextlib.suppress(OSError):
                 descriptor = os.dup(self.transport.get_extra_info("socket").fileno())
                 with socket.socket(fileno=descriptor) as remaining:
@@ -283,7 +295,7 @@
     with contextlib.suppress(OSError):
         for _ in range(MAX_READS_AFTER_RESET):
             count = remaining.recv_into(buffer)
-            if not count:
+            if not count or not stream.reads_after_reset:
                 break
             if stream.unreadable:
                 stream.on_unread(memoryview(buffer)[:count])
--- a/canvasplank/runtime/scheduler.py
+++ b/canvasplank/runtime/scheduler.py
@@ -1,9 +1,9 @@
 """Time and timers for one event loop: a cached clock per loop iteration, and one sorted queue of timers.
 
 An iteration handles the input of consecutive polls of the sockets at one clock reading.  It ends, and timers
-run, once a poll has brought no more input.  Otherwise a pause of this process (it was suspended, or the
-machine was busy) would look like the silence of a peer: what the peer sent during the pause has to be read
-before a time-out may fire.
+run, once a poll has brought no more input, or after a bounded time.  If they ran at once, a pause of this
+process (it was suspended, or the machine was busy) would look like the silence of a peer: what the peer sent
+during the pause has to be read before a time-out may fire.
 """
 
 from __future__ import annotations
@@ -18,7 +18,9 @@
 
 LOG = logging.getLogger(__name__)
 CATCH_UP_RATE = 0.9  # speed of the clock, relative to real time, while the system's clock is behind it
-MAX_POLLS_PER_ITERATION = 16  # timers have to run even if input never pauses
+# Timers have to run even if input never pauses, and a poll may bring more than a little of it.
+MAX_POLLS_PER_ITERATION = 16
+MAX_ITERATION_MS = 100.0
 
 
 class Timer(NamedTuple):
@@ -98,12 +100,12 @@
         self._wakeup: asyncio.TimerHandle | None = None
         self._wakeup_ms: float | None = None
 
-    def begin_iteration(self) -> None:
+    def begin_iteration(self, *, input_read: bool = True) -> None:
         """Record input, and start an iteration, with a new clock reading, unless one is running.
 
-        Every callback of the event loop must call this first.
+        Every callback of the event loop must call this first; ``input_read``: whether a socket brought input.
         """
-        self._received = True
+        self._received |= input_read
         if self._in_iteration:
             return
         self._in_iteration = True
@@ -126,7 +128,7 @@
         """Poll again until a poll brings no input, then run the due timers and end the iteration."""
         self._polls += 1
         # The first poll is the one that began the iteration; only the next one shows whether there is more.
-        if (self._polls == 1 or self._received) and self._polls < MAX_POLLS_PER_ITERATION:
+        if self._polls == 1 or (self._received and not self._is_overdue):
             self._received = False
             loop.call_soon(self._poll_again, loop)
             return
@@ -134,6 +136,11 @@
         self._in_iteration = False
         self._arm_wakeup(loop)
 
+    @property
+    def _is_overdue(self) -> bool:
+        took_ms = self._clock() - self.now_ms
+        return self._polls >= MAX_POLLS_PER_ITERATION or took_ms >= MAX_ITERATION_MS
+
     def _run_due_timers(self) -> None:
         while (timer := self.timers.pop_due(self.now_ms)) is not None:
             try:
--- a/emulators/callers.py
+++ b/emulators/callers.py
@@ -59,8 +59,12 @@
 class Callers:
     """All callers, with one connection to each proxy. ``calls`` maps call ids to all calls so far."""
 
-    def __init__(self, seed: int, classes: tuple[CallerClass, ...] = CLASSES, pools: int = 1) -> None:
+    def __init__(
+        self, seed: int, classes: tuple[CallerClass, ...] = CLASSES, pools: int = 1, grace_s: float = 0.1
+    ) -> None:
+        """``grace_s``: how long after its deadline a call is given up."""
         self.random = random.Random(seed)
+        self.grace_s = grace_s
         self.classes = classes
         self.pools = pools
         self.calls: dict[str, PlacedCall] = {}
@@ -109,7 +113,7 @@
             isup.Parameter.DESCRIPTION: b"offer " + call.id.encode(),
         }
         self._write(call.proxy, isup.encode(isup.Message(isup.Kind.SET_UP, call.id, parameters)))
-        asyncio.get_running_loop().call_later(kind.wait_s + 0.1, self._on_deadline, call)
+        asyncio.get_running_loop().call_later(kind.wait_s + self.grace_s, self._on_deadline, call)
         return call
 
     def _on_deadline(self, call: PlacedCall) -> None:
--- a/emulators/misbehaving_callers.py
+++ b/emulators/misbehaving_callers.py
@@ -202,7 +202,9 @@
     callers = [
         MisbehavingCaller(kind, address, until_s, seed + number, traffic) for number in range(connections)
     ]
-    await asyncio.gather(*(caller.run() for caller in callers))
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await asyncio.gather(*(caller.run() for caller in callers))
     return traffic
 
 
@@ -213,7 +215,7 @@
     parser.add_argument("address")
     parser.add_argument("--connections", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=3.0)
-    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seed", type=int, default=1000)
     options = parser.parse_args(arguments)
     traffic = asyncio.run(
         misbehave(options.kind, options.address, options.connections, options.seconds, options.seed)
--- a/tests/test_project_rules.py
+++ b/tests/test_project_rules.py
@@ -181,6 +181,8 @@
     "network.listener",
     "network.release_retransmission",
     "network.peer",
+    "network.token_bucket",
+    "network.deferred_input",
     "network.caller_drain",
     "network.caller_stream",
     "network.caller_pool",
@@ -253,7 +255,9 @@
         "caller_releases",
         "caller_stream",
         "callers",
+        "deferred_input",
         "set_up_parser",
+        "token_bucket",
     )
 }
 SERVER_MODULES = {
