A call id whose caller has left does not run again, also across an upgrade

What callers saw: a call ran twice under one id, when its caller closed its connection and sent the set-up again; and set-ups were sent on after their caller had left a busy proxy.

Cause: the end of a connection ends its calls, and an id was looked for among open and established calls only. Two processes at one address knew nothing of each other's calls. A connection whose messages wait for their turns is not read, so that its end is not seen before them.

Change: ids of ended calls that were sent to a server are remembered, and such a set-up is failed and counted. The new process of an upgrade has had a connection to the old one; on it each tells the other of calls that were abandoned after an attempt. Before a set-up is handled, poll(2) shows an end of its connection behind what is unread; a caller that only closed its side is told apart by a message that callers ignore.

test_a_predecessor_is_sent_tests expects the id with which a new process introduces itself, in place of zeros.

--- a/canvasplank/codecs/isup.py
+++ b/canvasplank/codecs/isup.py
@@ -17,9 +17,14 @@
 _HEADER = struct.Struct(">HB8s")  # length, type, call
 _PARAMETER = struct.Struct(">BH")
 MAX_PARAMETERS = 64  # of a message; no message of the protocol has more than 8
+_CALL_ID_BYTES = 8
 _MIN_LENGTH = _HEADER.size - _LENGTH.size  # type and call
 
 
+# The call id of the tests with which a process introduces itself to the one that it takes over from.
+UPGRADE_ID = b"upgrade\0".hex()
+
+
 class Kind(enum.IntEnum):
     """The message types in use.  The parser accepts any other; the receiver decides what it means."""
 
@@ -125,6 +130,16 @@
             return True
         return size is not None and len(self._buffer) >= size
 
+    @property
+    def next_kind(self) -> int | None:
+        """The type of the next message; None if it has not been received whole."""
+        return self._buffer[_LENGTH.size] if self.has_message and self.buffered > _LENGTH.size else None
+
+    @property
+    def next_call_id(self) -> str:
+        """The call id of the next message, which must have been received whole."""
+        return bytes(self._buffer[_HEADER.size - _CALL_ID_BYTES : _HEADER.size]).hex()
+
     def _next_size(self) -> int | None:
         """Return the size of the next message, None if not known yet; raises ``BadMessageError``."""
         if len(self._buffer) < _LENGTH.size:
--- a/canvasplank/exchange/call_table.py
+++ b/canvasplank/exchange/call_table.py
@@ -9,6 +9,9 @@
 
 # Ids of ended calls that are kept, so that a retransmitted release is forwarded only once.
 MAX_ENDED_CALLS = 8192
+# Ids of ended calls that were sent to a server, which are kept so that none of them runs again.
+MAX_ATTEMPTED_CALLS = 8192
+MAX_RECENTLY_ATTEMPTED = 256
 # The fraction of the configured memory that the descriptions of open calls may take.
 DESCRIPTIONS_FRACTION = 1 / 8
 # The fraction of the configured memory that the records of open and established calls may take.
@@ -32,6 +35,7 @@
         self.open: dict[str, CallRecord] = {}
         self.established: dict[str, CallRecord] = {}
         self._ended: OrderedDict[str, None] = OrderedDict()
+        self._attempted: OrderedDict[str, None] = OrderedDict()
         self._description_bytes = 0
 
     def set_memory_limit(self, memory_bytes: float) -> None:
@@ -47,6 +51,20 @@
         """Return whether a call with this id is among the last ``MAX_ENDED_CALLS`` that ended."""
         return call_id in self._ended
 
+    def was_attempted(self, call_id: str) -> bool:
+        """Return whether the last calls that ended after an attempt include one with this id."""
+        return call_id in self._attempted
+
+    def remember_attempted(self, call_id: str) -> None:
+        """Record that a call with this id was sent to a server, and has ended."""
+        self._attempted[call_id] = None
+        if len(self._attempted) > MAX_ATTEMPTED_CALLS:
+            self._attempted.popitem(last=False)
+
+    def recently_attempted(self) -> list[str]:
+        """Return the ids of the last ``MAX_RECENTLY_ATTEMPTED`` calls that ended after an attempt."""
+        return list(self._attempted)[-MAX_RECENTLY_ATTEMPTED:]
+
     def has_room_for(self, call: CallRecord) -> bool:
         """Return whether this call can be added within the limits on calls and on memory."""
         description_bytes = self._description_bytes + len(call.description)
@@ -68,6 +86,8 @@
         call.description = b""
         if call.established_server_id is None:
             self.remember_ended(call.id)
+            if call.attempts:
+                self.remember_attempted(call.id)
 
     def establish(self, call: CallRecord, server_id: str, now_ms: float) -> None:
         """Move an open call to the established calls."""
@@ -79,6 +99,7 @@
         """Remove a call from the established calls."""
         del self.established[call.id]
         self.remember_ended(call.id)
+        self.remember_attempted(call.id)
 
     def remember_ended(self, call_id: str) -> None:
         """Record that the call with this id has ended."""
--- a/canvasplank/exchange/exchange.py
+++ b/canvasplank/exchange/exchange.py
@@ -57,6 +57,10 @@
         """Set the component that sends attempts and releases; must be called before the first call."""
         self._servers = self._attempts.servers = servers
 
+    def attach_other_process(self, announce_abandoned: Callable[[str], None]) -> None:
+        """Set the function that tells another process of this instance of calls abandoned here."""
+        self._answers.announce_abandoned = announce_abandoned
+
     def attach_recorder(self, recorder: Recorder) -> None:
         """Set the component that records the outcome of each call."""
         self._outcomes.recorder = recorder
@@ -89,6 +93,11 @@
         existing = self._table.find(call.id)
         if existing is not None:
             return self._accept_retransmission(existing, call)
+        if self._table.was_attempted(call.id):
+            # Its caller has left meanwhile, and the call may have run: no answer would be true but this one.
+            self.counters.add("answered.attempted_before")
+            self._answers.reject_untracked(call, FinalAnswer.FAILED)
+            return True
         if not accept_new or not self._table.has_room_for(call):
             self.counters.add("answered.over_capacity" if accept_new else "answered.drain_overdue")
             self._answers.reject_untracked(call, FinalAnswer.REFUSED)
@@ -145,6 +154,16 @@
             self._table.remember_ended(call_id)
             self._servers.release(None, call_id, cause)
 
+    def on_abandoned_elsewhere(self, call_id: str) -> None:
+        """Handle the news that a call was abandoned after an attempt at another process of this instance."""
+        self.counters.add("taken.abandoned_elsewhere")
+        self._table.remember_attempted(call_id)
+        self.give_up(call_id)
+
+    def recently_attempted(self) -> list[str]:
+        """Return the ids of the last calls that ended after an attempt, oldest first."""
+        return self._table.recently_attempted()
+
     def give_up(self, call_id: str) -> None:
         """Reject an open call before its caller's deadline: its caller's connection has to be closed."""
         call = self._table.open.get(call_id)
--- a/canvasplank/exchange/final_answers.py
+++ b/canvasplank/exchange/final_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 
 from canvasplank import interface as api
 from canvasplank.counters import Counters
@@ -28,6 +29,7 @@
         dispatcher: EventDispatcher,
     ) -> None:
         self.callers: CallerSide
+        self.announce_abandoned: Callable[[str], None] = lambda call_id: None
         self._table, self._counters, self._outcomes = table, counters, outcomes
         self._attempts, self._dispatcher = attempts, dispatcher
 
@@ -50,6 +52,8 @@
         call.unanswered = False
         self.callers.remove_call(call.origin, call.id)  # the release may have come on another connection
         self._outcomes.abandoned(call)
+        if call.attempts:
+            self.announce_abandoned(call.id)
         self._dispatcher.dispatch(api.CallAbandoned(call.id))
         if call.in_flight is not None:
             self._attempts.end(call, api.Outcome.CANCELLED, cancel=True)
--- a/canvasplank/network/caller_stream.py
+++ b/canvasplank/network/caller_stream.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
+import select
 from typing import Protocol
 
 from canvasplank.codecs import isup
@@ -27,6 +29,13 @@
 HALF_CLOSED_PROBE_INTERVAL_MS = 100.0
 
 
+def _end_events(transport: asyncio.Transport) -> int:
+    """Return the events of poll(2) that show an end of a connection, also behind unread data."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+    return next((events for _, events in poll.poll(0)), 0)
+
+
 class ReleaseSender(Protocol):
     """The part of ``CallerReleases`` that a connection uses."""
 
@@ -70,6 +79,9 @@
         self._allowance = TokenBucket(MESSAGES_PER_S, MAX_MESSAGES, now_ms, INITIAL_MESSAGES)
         self.set_up_allowance = TokenBucket(SET_UPS_PER_S, MAX_SET_UPS, now_ms)
         self.unknown_releases = TokenBucket(UNKNOWN_RELEASES_PER_S, MAX_UNKNOWN_RELEASES, now_ms)
+        self.has_left = False  # whether the caller's kernel has reset the connection
+        self._end_seen_ms: float | None = None  # when the caller's end of stream was first seen, unread
+        self._is_probing = False  # whether a set-up waits until it is known if its caller has left
         self._is_deferred = False  # whether complete messages are kept for later turns
         self.open_set_ups: set[str] = set()  # ids of the unanswered set-ups received here
         self.half_closed = False  # whether the caller has closed its side
@@ -97,7 +109,7 @@
             return
         while self._allowance.has_token(self.scheduler.now_ms) and self._handle_next_message():
             pass
-        if self._isup_parser.has_message:
+        if self._isup_parser.has_message and not self._is_deferred:
             self._defer()
 
     @property
@@ -105,8 +117,37 @@
         """See ``Stream``; a caller that had sent more than its allowance is not read after it has left."""
         return not self._is_deferred
 
+    def _may_handle_set_up(self) -> bool:
+        """Return whether the next message, a set-up, may be handled now; otherwise it is after a probe.
+
+        A caller that has left may have more unread data here than is handled before its end is read.  The end
+        of one that waits for answers is the same, so this writes a message that callers ignore: the kernel of
+        one that has left resets the connection.
+        """
+        if self.has_left or self.transport is None or not self.is_open:
+            return True
+        events = _end_events(self.transport)
+        self.has_left = bool(events & (select.POLLERR | select.POLLHUP))
+        if self.has_left or not events:
+            return True
+        if self._end_seen_ms is None:
+            self._end_seen_ms = self.scheduler.now_ms
+            self.write(isup.progress(self._isup_parser.next_call_id))
+        if self.scheduler.now_ms - self._end_seen_ms >= HALF_CLOSED_PROBE_INTERVAL_MS:
+            return True
+        self._is_deferred = self._is_probing = True
+        self.transport.pause_reading()
+        self.scheduler.call_later(HALF_CLOSED_PROBE_INTERVAL_MS, self._on_probed)
+        return False
+
+    def _on_probed(self) -> None:
+        self._is_probing = False
+        self._owner.deferred_input.add(self)
+
     def _handle_next_message(self) -> bool:
-        """Handle the next message; return False if none is complete."""
+        """Handle the next message; return False if none is complete, or it is to be handled later."""
+        if self._isup_parser.next_kind == isup.Kind.SET_UP and not self._may_handle_set_up():
+            return False
         message = self._isup_parser.next_message()
         if message is None:
             return False
@@ -128,7 +169,7 @@
         if self.transport is None or self.transport.is_closing() or self.is_writing_paused:
             return False
         self.handle(lambda: self._handle_messages(max_messages))
-        if self.transport.is_closing():
+        if self.transport.is_closing() or self._is_probing:
             return False
         if self._isup_parser.has_message:
             return not self.is_writing_paused
@@ -148,7 +189,16 @@
             super().resume_writing()
             return
         self.is_writing_paused = False
-        self._owner.deferred_input.add(self)
+        if not self._is_probing:
+            self._owner.deferred_input.add(self)
+
+    @property
+    def is_from_this_host(self) -> bool:
+        """Whether the peer has the address that it has connected to."""
+        if self.transport is None:
+            return False
+        addresses = [self.transport.get_extra_info(name) for name in ("peername", "sockname")]
+        return all(addresses) and addresses[0][0] == addresses[1][0]
 
     @property
     def message_is_overdue(self) -> bool:
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -58,6 +58,7 @@
             UNKNOWN_RELEASES_PER_S, MAX_UNKNOWN_RELEASES, exchange.scheduler.now_ms
         )
         self._is_ready = is_ready
+        self._successor: CallerStream | None = None  # the connection of a new process at this address
         self._listener: Listener | None = None
 
     @property
@@ -155,32 +156,51 @@
     def on_disconnected(self, stream: CallerStream) -> None:
         """See ``CallerStreamOwner``."""
         self._pool.remove(stream)
+        if stream is self._successor:
+            self._successor = None
         for call_id in list(stream.open_set_ups):
             self.exchange.on_caller_disconnected(call_id, stream)
         self.releases.resend_unconfirmed(stream)
 
     def on_message(self, stream: CallerStream, message: isup.Message) -> None:
         """See ``CallerStreamOwner``; a message type that callers do not send is a bad message."""
-        if message.kind != isup.Kind.TEST and not stream.carries_calls:
+        if message.kind != isup.Kind.TEST and not stream.carries_calls and stream is not self._successor:
             stream.on_first_call_message()
             self.releases.send_pending(stream)
         match message.kind:
-            case isup.Kind.SET_UP if not stream.is_open:
+            case isup.Kind.SET_UP if stream.has_left or not stream.is_open:
                 pass  # its caller has left, or had not seen our close and sends it again on a new connection
             case isup.Kind.SET_UP:
                 self._on_set_up(stream, message)
+            case isup.Kind.RELEASE if stream is self._successor:
+                self.exchange.on_abandoned_elsewhere(message.call_id)
             case isup.Kind.RELEASE:
                 self._on_release(stream, message)
             case isup.Kind.RELEASE_CONFIRMED:
                 stream.on_release_confirmed(message.call_id)
                 self.releases.on_delivered(message.call_id)
             case isup.Kind.TEST:
+                if message.call_id == isup.UPGRADE_ID and stream.is_from_this_host:
+                    self._on_successor(stream)
                 stream.write(isup.test_result(message.call_id, self.takes_callers))
             case isup.Kind.PROGRESS:
                 pass  # carries no information for the proxy
             case _:
                 raise BadMessageError(f"message type {message.kind} is not expected from a caller")
 
+    def _on_successor(self, stream: CallerStream) -> None:
+        """Tell a new process at this address of the calls that must not run again there."""
+        if stream is self._successor:
+            return
+        self._successor = stream
+        for call_id in self.exchange.recently_attempted():
+            self.announce_abandoned(call_id)
+
+    def announce_abandoned(self, call_id: str) -> None:
+        """Tell the new process, if there is one, of a call that was abandoned here after an attempt."""
+        if self._successor is not None:
+            self._successor.write(isup.release(call_id, ReleaseCause.NORMAL_CLEARING))
+
     def _on_release(self, stream: CallerStream, message: isup.Message) -> None:
         now_ms = self.exchange.scheduler.now_ms
         if not self.exchange.knows(message.call_id) and not (
--- a/canvasplank/program.py
+++ b/canvasplank/program.py
@@ -92,6 +92,8 @@
             self._budget,
             random.Random(int(configuration.seed, 16)),
         )
+        self._predecessor: PredecessorStream | None = None
+        self.exchange.attach_other_process(self._announce_abandoned)
         self._shutdown = Shutdown(max(c.deadline_ms for c in settings.classes))
         self._successor = Successor(self.scheduler, self._budget, configuration.listen)
         self._done = asyncio.Event()
@@ -137,10 +139,21 @@
         Call servers then send the releases again that the old process has left unconfirmed.
         """
         self.scheduler.call_later(PREDECESSOR_END_MS, self.servers.renew_connections)
-        predecessor = PredecessorStream(self.scheduler, self._budget, self._on_predecessor_ended)
-        await predecessor.connect(host, port)
+        self._predecessor = PredecessorStream(
+            self.scheduler,
+            self._budget,
+            self._on_predecessor_ended,
+            self.exchange.on_abandoned_elsewhere,
+        )
+        await self._predecessor.connect(host, port)
         self.scheduler.begin_iteration()
 
+    def _announce_abandoned(self, call_id: str) -> None:
+        """Tell the processes before and after this one at its address of an abandoned call."""
+        self._callers.announce_abandoned(call_id)
+        if self._predecessor is not None:
+            self._predecessor.announce_abandoned(call_id)
+
     def _on_predecessor_ended(self) -> None:
         self.scheduler.call_later(END_DETECTION_MS, self.servers.renew_connections)
 
--- a/emulators/misbehaving_callers.py
+++ b/emulators/misbehaving_callers.py
@@ -22,12 +22,14 @@
 from canvasplank.codecs.errors import MAX_MESSAGE_BYTES
 from canvasplank.codecs.q850 import ReleaseCause
 from canvasplank.config.addresses import parse_address
+from emulators.fleet import ROOT
 
 ROUND_BYTES = 16 * 1024  # written at a time, and then again as soon as the kernel has taken most of it
 READ_BYTES = 65_536
 CLASS_NAME_BYTES = 6000  # a set-up with such a name is well formed
 MAX_UNANSWERED = 100  # set-ups of one connection that wait for their answers
 RECONNECT_DELAY_S = 0.01
+MAX_DESCRIPTION_BYTES = 15 * 1024
 SLOW_WRITE_INTERVAL_S = 0.5
 SET_UP_WAIT_MS = 3000
 PARAMETER_HEADER_BYTES = 3
@@ -41,6 +43,7 @@
 
     UNKNOWN_CLASSES = "unknown-classes"  # set-ups, each of another class that does not exist
     SET_UPS = "set-ups"  # set-ups that servers can use, under new ids
+    LARGE_SET_UPS = "large-set-ups"  # the same, with the longest descriptions
     RELEASED_SET_UPS = "released-set-ups"  # set-ups that are released at once
     RELEASES = "releases"  # releases of calls that do not exist
     CONFIRMATIONS = "confirmations"  # confirmations of releases that were never sent
@@ -114,7 +117,7 @@
                 writer.write(b"\0\1" * 100)
                 self._traffic.sent += 1
                 await asyncio.sleep(RECONNECT_DELAY_S)
-            case Misbehaviour.UNKNOWN_CLASSES | Misbehaviour.SET_UPS:
+            case Misbehaviour.UNKNOWN_CLASSES | Misbehaviour.SET_UPS | Misbehaviour.LARGE_SET_UPS:
                 await self._write_set_ups(writer)
             case _:
                 await self._write_messages(writer)
@@ -163,7 +166,7 @@
 
     def _large_set_up(self) -> bytes:
         call_id = f"{self._random.getrandbits(64) | 1:016x}"
-        return set_up(call_id, KNOWN_CLASS, bytes(15 * 1024))
+        return set_up(call_id, KNOWN_CLASS, bytes(MAX_DESCRIPTION_BYTES))
 
     async def _read(self, reader: asyncio.StreamReader) -> None:
         parser = isup.Parser()
@@ -183,6 +186,7 @@
 MESSAGES: dict[Misbehaviour, Callable[[MisbehavingCaller, str], bytes]] = {
     Misbehaviour.UNKNOWN_CLASSES: MisbehavingCaller.unknown_class,
     Misbehaviour.SET_UPS: lambda _, call_id: set_up(call_id, KNOWN_CLASS),
+    Misbehaviour.LARGE_SET_UPS: lambda _, call_id: set_up(call_id, KNOWN_CLASS, bytes(MAX_DESCRIPTION_BYTES)),
     Misbehaviour.RELEASED_SET_UPS: lambda _, call_id: (
         set_up(call_id, KNOWN_CLASS) + isup.release(call_id, NORMAL)
     ),
@@ -208,6 +212,23 @@
     return traffic
 
 
+async def start_misbehaving(
+    kind: Misbehaviour, address: str, connections: int, seconds: float
+) -> asyncio.subprocess.Process:
+    """Start this program; its output is one line of JSON with the fields of ``Traffic``."""
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "emulators.misbehaving_callers",
+        kind.value,
+        address,
+        f"--connections={connections}",
+        f"--seconds={seconds}",
+        cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE,
+    )
+
+
 def main(arguments: list[str]) -> None:
     """Run the program."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/tests/test_misbehaving_callers.py
+++ b/tests/test_misbehaving_callers.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 import json
-import sys
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -16,8 +15,8 @@
 from race_conditions import CallerSideRig, run_coroutine, set_up
 
 from emulators.callers import Callers, PlacedCall
-from emulators.fleet import ROOT, Proxy, fleet
-from emulators.misbehaving_callers import Misbehaviour
+from emulators.fleet import Proxy, fleet
+from emulators.misbehaving_callers import Misbehaviour, start_misbehaving
 from emulators.server import CallServer
 
 MEMORY_MB = 192  # the limit in the proxy's configuration
@@ -71,22 +70,6 @@
         await asyncio.sleep(SAMPLE_INTERVAL_S)
 
 
-async def start_misbehaving(
-    kind: Misbehaviour, address: str, connections: int, seconds: float
-) -> asyncio.subprocess.Process:
-    return await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "emulators.misbehaving_callers",
-        kind.value,
-        address,
-        f"--connections={connections}",
-        f"--seconds={seconds}",
-        cwd=ROOT,
-        stdout=asyncio.subprocess.PIPE,
-    )
-
-
 async def play(
     folder: Path, kind: Misbehaviour, connections: int = 1, seconds: float = MISBEHAVING_S
 ) -> Play:
@@ -156,7 +139,7 @@
     ],
     ids=lambda kind: kind.value,
 )
-def test_a_third_of_the_descriptors_at_full_speed_delays_no_other_caller(tmp_path, kind):
+def test_a_third_of_the_descriptors_delays_no_other_caller_and_fits_in_the_memory(tmp_path, kind):
     """An iteration of the scheduler took seconds, and no timer ran: usual calls passed their deadlines."""
     seen = asyncio.run(play(tmp_path, kind, MAX_CALLERS))
     assert seen.lost_calls() == []
--- a/tests/test_successor.py
+++ b/tests/test_successor.py
@@ -12,7 +12,7 @@
 from canvasplank.codecs import isup, sip
 from canvasplank.codecs.q850 import ReleaseCause
 from canvasplank.interface import ServerState
-from canvasplank.network.predecessor import NO_CALL_ID, TEST_INTERVAL_MS, PredecessorStream
+from canvasplank.network.predecessor import TEST_INTERVAL_MS, PredecessorStream
 from canvasplank.network.stream import BufferBudget
 from canvasplank.network.successor import Successor
 from canvasplank.runtime.scheduler import Scheduler, TimerQueue
@@ -234,12 +234,14 @@
         host, port = (await listener.start()).split(":")
         clock = [1_000_000.0]
         scheduler = Scheduler(TimerQueue(), clock=lambda: clock[0])
-        await PredecessorStream(scheduler, BufferBudget(1e6), ended.set).connect(host, int(port))
+        await PredecessorStream(scheduler, BufferBudget(1e6), ended.set, lambda _: None).connect(
+            host, int(port)
+        )
         await listener.wait_until(lambda: len(listener.received) == 1)
         clock[0] += TEST_INTERVAL_MS
         scheduler.begin_iteration()
         await listener.wait_until(lambda: len(listener.received) == 2)
-        assert set(listener.received) == {(isup.Kind.TEST, NO_CALL_ID)}
+        assert set(listener.received) == {(isup.Kind.TEST, isup.UPGRADE_ID)}
         assert not ended.is_set()
         await listener.stop()
         async with asyncio.timeout(WAIT_S):
