A drain closes a connection only once its deferred messages are handled

What callers would see: set-ups that had been read from a connection past its allowance got no answer, when a drain closed it meanwhile. Cause: only open set-ups kept a connection in a drain, and deferred messages are none yet. The test fails without the change.

--- a/canvasplank/network/caller_stream.py
+++ b/canvasplank/network/caller_stream.py
@@ -278,8 +278,9 @@
 
         Once a drain is overdue, a connection in use counts as unused in spite of established calls: their
         releases can be sent on any other connection.  One that is not in use is kept for the releases.
+        Before a drain expires, deferred messages, which may be set-ups, keep a connection in use too.
         """
-        if self.open_set_ups:
+        if self.open_set_ups or (self._is_deferred and self._owner.drain_phase < DrainPhase.EXPIRED):
             return False
         return not self.established or self._has_set_up_within(self._owner.drain_phase.reuse_ms)
 
--- a/tests/test_deferred_input.py
+++ b/tests/test_deferred_input.py
@@ -127,6 +127,22 @@
     with_caller(play)
 
 
+def test_a_drain_closes_a_connection_only_after_its_deferred_messages():
+    """They had been read, and got no answer."""
+    count = int(20 * INITIAL_MESSAGES)
+
+    async def play(rig: CallerSideRig, peer: socket.socket) -> None:
+        peer.sendall(b"".join(isup.test(f"{number:016x}") for number in range(1, count + 1)))
+        while not rig.exchange.counters["taken.deferred"]:
+            await asyncio.sleep(0)
+        rig.callers._pool.quiesce()
+        [stream] = rig.callers.streams
+        stream._close_if_still_drained()
+        assert len(await read_messages(peer, count)) == count
+
+    with_caller(play)
+
+
 def test_set_ups_past_the_limit_of_their_caller_are_refused_and_counted():
     """Set-ups released at once took all that the servers admitted, and other calls waited in vain."""
     count = int(MAX_SET_UPS) + 30
