Tests of slow, half and large messages from a third of the descriptors

Operators reported that hundreds of clients that write slowly, stop half way through a large request or send very many short fields take a process past its memory.

--- a/tests/test_misbehaving_callers.py
+++ b/tests/test_misbehaving_callers.py
@@ -136,6 +136,9 @@
         Misbehaviour.TESTS,
         Misbehaviour.SHORT_PARAMETERS,
         Misbehaviour.UNREAD,
+        Misbehaviour.LARGE_SET_UPS,
+        Misbehaviour.HALF_MESSAGES,
+        Misbehaviour.SLOW_WRITES,
     ],
     ids=lambda kind: kind.value,
 )
