Set-ups under an id that has ended count towards the limit of their connection

Found by reading the limit again: a set-up of a call that is open is not counted, since it is a retransmission; that asked also for ids of calls that have ended, so a client that used one id over and over was not limited. The test fails without the change.

--- a/canvasplank/exchange/exchange.py
+++ b/canvasplank/exchange/exchange.py
@@ -254,6 +254,10 @@
         """Handle the end of a probe, answered or not."""
         self._dispatcher.dispatch(api.ProbeAnswered(server_id, answered, report))
 
+    def has_call(self, call_id: str) -> bool:
+        """Return whether a call with this id is open or established."""
+        return self._table.find(call_id) is not None
+
     def knows(self, call_id: str) -> bool:
         """Return whether a call with this id is open, established, or among those that ended last."""
         return self._table.find(call_id) is not None or self._table.has_ended(call_id)
--- a/canvasplank/network/callers.py
+++ b/canvasplank/network/callers.py
@@ -221,7 +221,7 @@
             replace_unknown_names(call, self._bounds)
             self.exchange.reject_invalid(call)
             return
-        if not self.exchange.knows(call.id) and not stream.set_up_allowance.take(stream.last_set_up_ms):
+        if not self.exchange.has_call(call.id) and not stream.set_up_allowance.take(stream.last_set_up_ms):
             self.exchange.reject_over_limit(call)
             return
         stream.has_set_up_calls = True
--- a/tests/test_deferred_input.py
+++ b/tests/test_deferred_input.py
@@ -173,3 +173,16 @@
         assert rig.exchange.counters["taken.releases_over_limit"] == 1
 
     with_caller(play)
+
+
+def test_set_ups_under_an_id_that_has_ended_count_as_new_ones():
+    """An id that its caller had released was not counted, however often it came again."""
+    count = int(MAX_SET_UPS) + 30
+
+    async def play(rig: CallerSideRig, peer: socket.socket) -> None:
+        reading = asyncio.create_task(read_messages(peer, count + 30))
+        await asyncio.get_running_loop().sock_sendall(peer, (set_up() + RELEASE) * count)
+        assert len([each for each in await reading if each.kind == isup.Kind.RELEASE]) == 30
+        assert rig.exchange.counters["answered.over_caller_limit"] == 30
+
+    with_caller(play)
