--- a/canvasplank/network/caller_stream.py
+++ b/canvasplank/network/caller_stream.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
-import select
 from typing import Protocol
 
 from canvasplank.codecs import isup
 from canvasplank.exchange.exchange import Exchange
 from canvasplank.network.caller_drain import RECENT_SET_UP_MS, DrainPhase
+from canvasplank.network.connection_end import ConnectionEnd, peers_end
 from canvasplank.network.deferred_input import DeferredInput
 from canvasplank.network.release_retransmission import ReleaseHandling, UnconfirmedReleases
 from canvasplank.network.stream import BufferBudget, Stream
@@ -29,13 +28,6 @@
 HALF_CLOSED_PROBE_INTERVAL_MS = 100.0
 
 
-def _end_events(transport: asyncio.Transport) -> int:
-    """Return the events of poll(2) that show an end of a connection, also behind unread data."""
-    poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-    return next((events for _, events in poll.poll(0)), 0)
-
-
 class ReleaseSender(Protocol):
     """The part of ``CallerReleases`` that a connection uses."""
 
@@ -126,9 +118,9 @@
         """
         if self.has_left or self.transport is None or not self.is_open:
             return True
-        events = _end_events(self.transport)
-        self.has_left = bool(events & (select.POLLERR | select.POLLHUP))
-        if self.has_left or not events:
+        end = peers_end(self.transport)
+        self.has_left = end is ConnectionEnd.RESET
+        if end is not ConnectionEnd.HALF_CLOSED:
             return True
         if self._end_seen_ms is None:
             self._end_seen_ms = self.scheduler.now_ms
