Only set-ups that had to wait for their turns are checked for an end of their connection

An end behind a little that is unread is read with it, as ever; poll(2) is needed only where a connection is not read meanwhile.

--- a/canvasplank/network/caller_stream.py
+++ b/canvasplank/network/caller_stream.py
@@ -110,7 +110,7 @@
         return not self._is_deferred
 
     def _may_handle_set_up(self) -> bool:
-        """Return whether the next message, a set-up, may be handled now; otherwise it is after a probe.
+        """Return whether the next message, a deferred set-up, may be handled now, and not after a probe.
 
         A caller that has left may have more unread data here than is handled before its end is read.  The end
         of one that waits for answers is the same, so this writes a message that callers ignore: the kernel of
@@ -138,7 +138,8 @@
 
     def _handle_next_message(self) -> bool:
         """Handle the next message; return False if none is complete, or it is to be handled later."""
-        if self._isup_parser.next_kind == isup.Kind.SET_UP and not self._may_handle_set_up():
+        is_deferred_set_up = self._is_deferred and self._isup_parser.next_kind == isup.Kind.SET_UP
+        if is_deferred_set_up and not self._may_handle_set_up():
             return False
         message = self._isup_parser.next_message()
         if message is None:
--- a/canvasplank/network/connection_end.py
+++ b/canvasplank/network/connection_end.py
@@ -16,10 +16,13 @@
 
 
 def peers_end(transport: asyncio.Transport) -> ConnectionEnd:
-    """Return how the peer of an open connection has ended it, by poll(2)."""
+    """Return how the peer of an open connection has ended it, by poll(2); NONE where that cannot tell."""
     poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-    events = next((events for _, events in poll.poll(0)), 0)
+    try:
+        poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        events = next((events for _, events in poll.poll(0)), 0)
+    except OSError:
+        return ConnectionEnd.NONE
     if events & (select.POLLERR | select.POLLHUP):
         return ConnectionEnd.RESET
-    return ConnectionEnd.HALF_CLOSED if events else ConnectionEnd.NONE
+    return ConnectionEnd.HALF_CLOSED if events & select.POLLRDHUP else ConnectionEnd.NONE
