--- a/tests/test_deferred_input.py
+++ b/tests/test_deferred_input.py
@@ -186,3 +186,20 @@
         assert rig.exchange.counters["answered.over_caller_limit"] == 30
 
     with_caller(play)
+
+
+def test_a_connection_has_one_place_among_those_that_take_turns():
+    """A connection whose writing resumes while it waits for a turn was added again, for each time."""
+
+    class Stream:
+        def handle_deferred(self, max_messages: int) -> bool:
+            return True
+
+    async def run() -> int:
+        deferred, stream = DeferredInput(Scheduler(TimerQueue(), clock=lambda: 0.0), Counters()), Stream()
+        for _ in range(50):
+            deferred.add(stream)
+        await asyncio.sleep(0)
+        return len(deferred._streams)
+
+    assert asyncio.run(run()) == 1
